--- a/cmd/oleanderramp/main.go
+++ b/cmd/oleanderramp/main.go
@@ -100,7 +100,7 @@
 			&cli.BoolFlag{Name: "json"},
 		},
 		Commands: []*cli.Command{
-			serveCommand,
+			serveCommand, siteCommand,
 			checkCommand(),
 			bundleCommand(),
 			endpointCommand(),
--- /dev/null
+++ b/cmd/oleanderramp/site.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"oleanderramp/internal/event"
+	"oleanderramp/internal/logring"
+	"oleanderramp/internal/settings"
+	"oleanderramp/internal/site"
+	"oleanderramp/platform"
+)
+
+const siteHelp = `NAME
+    oleanderramp site - run a daemon of a site that finds its hosts by itself
+
+SYNOPSIS
+    oleanderramp site [--settings FILE]
+
+DESCRIPTION
+    Runs a router or a control host on the users' platform. The daemons of a
+    site know a few seeds and find each other from there; the control hosts
+    make up the quorum, and replace lost members, without an order.
+
+    The settings are JSON; docs/OPERATIONS.md lists them. They are read again
+    on SIGHUP, and when the file changes. What can change while the daemon runs
+    are the seeds.
+
+    SIGTERM stops the daemon: it is no longer ready, answers what it has, and
+    ends within shutdown_s.
+
+OPTIONS
+    --settings FILE
+        The settings. Default: the file that OLEANDERRAMP_SETTINGS names.
+
+EXAMPLES
+    oleanderramp site --settings /etc/oleanderramp/site.json
+
+EXIT CODES
+    0   stopped in good order
+    1   the daemon failed, or requests were cut
+    2   wrong usage
+    3   findings in the settings
+`
+
+var siteCommand = &cli.Command{
+	Name:        "site",
+	Description: siteHelp,
+	Flags:       []cli.Flag{&cli.StringFlag{Name: "settings", Sources: cli.EnvVars("OLEANDERRAMP_SETTINGS")}},
+	Action:      runSite,
+}
+
+const (
+	// siteGCPercent is how much the heap may grow before garbage is collected.
+	siteGCPercent = 50
+	// memoryPart is the part of the host's memory that the heap may take
+	// before garbage is collected at all cost.
+	memoryPart = 0.75
+	// settingsPeriod is the time between two looks at the settings file.
+	settingsPeriod = 2 * time.Second
+)
+
+// runSite runs a site daemon until a signal ends it.
+func runSite(_ context.Context, c *cli.Command) error {
+	path := c.String("settings")
+	if path == "" {
+		return usagef("site needs --settings FILE")
+	}
+	s, err := readSite(path)
+	if err != nil {
+		return err
+	}
+	debug.SetGCPercent(siteGCPercent)
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * memoryPart))
+	}
+	ring := logring.New(c.Root().Writer)
+	defer ring.Close() //nolint:errcheck // There is nowhere to tell it.
+	l := newLogger(s.Log, ring)
+	ring.OnDrop(func(lines uint64) { event.LinesDropped.Log(l, event.Fields{"lines": lines}) })
+	d, err := site.New(s, platform.Adapter{}, l)
+	if err != nil {
+		event.DaemonFailed.Log(l, event.Fields{"host": s.Host, "error": err.Error()})
+		return err
+	}
+	return superviseSite(d, path, func(err error) {
+		event.SettingsUnreadable.Log(l, event.Fields{"file": path, "error": err.Error()})
+	})
+}
+
+func readSite(path string) (*settings.Site, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	s, err := settings.ParseSite(data)
+	if err != nil {
+		return nil, fmt.Errorf("settings %s:\n%w", path, err)
+	}
+	return s, nil
+}
+
+// superviseSite waits for signals, reloads the settings and stops the daemon.
+// A second signal to stop cuts what is under way.
+func superviseSite(d *site.Daemon, path string, unreadable func(error)) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	loaded := modified(path)
+	reload := func() {
+		s, err := readSite(path)
+		if err != nil {
+			unreadable(err)
+			return
+		}
+		d.SetSeeds(s.SeedAddresses())
+	}
+	var failure error
+	for stop := false; !stop; {
+		select {
+		case <-ticker.C:
+			if now := modified(path); now != loaded {
+				loaded = now
+				reload()
+			}
+		case s := <-signals:
+			stop = s != syscall.SIGHUP
+			if !stop {
+				loaded = modified(path)
+				reload()
+			}
+		case failure = <-d.Failed():
+			stop = true
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		for s := range signals {
+			if s != syscall.SIGHUP {
+				cancel()
+				return
+			}
+		}
+	}()
+	cut := d.Drain(ctx)
+	err := errors.Join(failure, d.Close())
+	if cut > 0 {
+		return errors.Join(errRequestsCut, err)
+	}
+	return err
+}
+
+// fileMark tells the versions of a file apart.
+type fileMark struct {
+	size     int64
+	modified time.Time
+}
+
+// modified returns the mark of the file; zero when it can't be read.
+func modified(path string) fileMark {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileMark{}
+	}
+	return fileMark{size: info.Size(), modified: info.ModTime()}
+}
--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,296 @@
+// Package balance chooses the endpoint that a request runs on, and says when
+// none can answer it in time. It predicts from what this router has sent, from
+// what the other routers say they have sent, and from how long answers took.
+//
+// It is a pure state machine: the present time is an argument.
+package balance
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"oleanderramp/internal/directory"
+	"oleanderramp/pkg/routing"
+)
+
+const (
+	// startRate is the prompt tokens that an engine is taken to read in a
+	// millisecond before it was measured.
+	startRate = 40.0
+	minRate   = 4.0
+	maxRate   = 200.0
+	// rateSampleTokens is the least work that says something about the rate.
+	rateSampleTokens = 2000
+	// smoothing is the weight of a new sample in a moving average.
+	smoothing = 0.1
+	// firstEventMS is what an engine takes for a first event without any
+	// prompt, in milliseconds.
+	firstEventMS = 25.0
+	// farMS is what another region costs, in milliseconds: the way there and
+	// back, and the price of the traffic.
+	farMS = 60.0
+	// startWorkMS is the time of a plain service's answer before it was
+	// measured, in milliseconds.
+	startWorkMS = 20.0
+	// failurePenaltyMS weighs the share of failed answers, in milliseconds.
+	failurePenaltyMS = 2000.0
+	// failureSmoothing is the weight of a new outcome in the share of failed
+	// answers.
+	failureSmoothing = 0.2
+	// memoryShare is how much of an engine's memory requests may fill.
+	memoryShare = 0.9
+	// plainQueue is how many requests per slot of a plain service may be
+	// under way.
+	plainQueue = 2.0
+	// downFor is how long an endpoint that could not be reached gets nothing,
+	// unless it announces itself.
+	downFor = 5 * time.Second
+	// downLeast is how long it gets nothing in any case.
+	downLeast = 300 * time.Millisecond
+	// loadHolds is how long what other routers have said counts.
+	loadHolds = 2 * time.Second
+)
+
+// Part is a piece of a prompt that other prompts may begin with as well.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt says how much work a request is for an engine.
+type Prompt struct {
+	// Tokens is the length of the prompt, Output the most that is generated.
+	Tokens int
+	Output int
+	// Parts are the pieces of the prompt in order; the last is the request's
+	// own.
+	Parts []Part
+}
+
+// Demand asks for an endpoint.
+type Demand struct {
+	Service string
+	Prompt  Prompt
+	// Within is the time in which the first event or the answer must come.
+	Within time.Duration
+	// Excluded endpoints are not asked again.
+	Excluded []string
+}
+
+// Load is the work under way at an endpoint.
+type Load struct {
+	Running int
+	// Prefill are the prompt tokens that are yet to be read.
+	Prefill int
+	// Memory is the tokens that the requests may hold.
+	Memory int
+}
+
+// Plus returns the sum of both.
+func (l Load) Plus(other Load) Load {
+	return Load{Running: l.Running + other.Running, Prefill: l.Prefill + other.Prefill, Memory: l.Memory + other.Memory}
+}
+
+// Reason says why no endpoint was chosen.
+type Reason string
+
+// The reasons.
+const (
+	NoEndpoint Reason = "no_endpoint"
+	Busy       Reason = "busy"
+)
+
+// Choice is an endpoint for a request, or the reason why there is none.
+type Choice struct {
+	Endpoint directory.Entry
+	// Predicted is the time until the first event or the answer.
+	Predicted time.Duration
+	// Uncached are the prompt tokens that the endpoint must read.
+	Uncached int
+	// Load is what was known to be under way there.
+	Load   Load
+	Reason Reason
+}
+
+// Balancer holds what is known of the endpoints. It is not safe for concurrent
+// use.
+type Balancer struct {
+	region    string
+	endpoints map[string]*endpoint
+	services  map[string]*service
+}
+
+// service is a group of endpoints.
+type service struct {
+	engine    *routing.Engine
+	endpoints []*endpoint
+	// workMS is the moving average of a plain answer's time.
+	workMS float64
+}
+
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	entry directory.Entry
+	own   Load
+	// others is the work of the other routers, as of othersAt.
+	others   Load
+	othersAt time.Time
+	// rate is the measured prompt tokens per millisecond.
+	rate float64
+	// failures is the moving share of failed answers.
+	failures float64
+	// failedAt and downUntil are set while the endpoint gets nothing.
+	failedAt  time.Time
+	downUntil time.Time
+	cache     cache
+}
+
+// New returns a balancer without endpoints for a router in the region.
+func New(region string) *Balancer {
+	return &Balancer{region: region, endpoints: make(map[string]*endpoint), services: make(map[string]*service)}
+}
+
+// Update sets the endpoints that may get work.
+func (b *Balancer) Update(entries []directory.Entry, table *routing.Table) {
+	before, services := b.endpoints, b.services
+	b.endpoints, b.services = make(map[string]*endpoint, len(entries)), make(map[string]*service)
+	for _, entry := range entries {
+		e, ok := before[entry.ID]
+		if !ok || !e.entry.Born.Equal(entry.Born) {
+			e = &endpoint{rate: startRate, cache: newCache()}
+		}
+		e.entry = entry
+		b.endpoints[entry.ID] = e
+		s, ok := b.services[entry.Service]
+		if !ok {
+			s = &service{workMS: startWorkMS}
+			if old, known := services[entry.Service]; known {
+				s.workMS = old.workMS
+			}
+			if described := table.Service(entry.Service); described != nil {
+				s.engine = described.Engine
+			}
+			b.services[entry.Service] = s
+		}
+		s.endpoints = append(s.endpoints, e)
+	}
+}
+
+// SetOthers replaces the work of the other routers.
+func (b *Balancer) SetOthers(now time.Time, loads map[string]Load) {
+	for id, e := range b.endpoints {
+		e.others, e.othersAt = loads[id], now
+	}
+}
+
+// Own returns the work of this router, without endpoints that have none.
+func (b *Balancer) Own() map[string]Load {
+	loads := make(map[string]Load)
+	for id, e := range b.endpoints {
+		if e.own != (Load{}) {
+			loads[id] = e.own
+		}
+	}
+	return loads
+}
+
+func (e *endpoint) load(now time.Time) Load {
+	if now.Sub(e.othersAt) >= loadHolds {
+		return e.own
+	}
+	return e.own.Plus(e.others)
+}
+
+// down tells whether the endpoint gets nothing for now.
+func (e *endpoint) down(now time.Time) bool {
+	if !now.Before(e.downUntil) {
+		return false
+	}
+	announced := e.entry.Heard.After(e.failedAt)
+	return !announced || now.Sub(e.failedAt) < downLeast
+}
+
+// Choose returns the endpoint that answers the demand soonest, counted with
+// what it costs. It takes no place there: that is Begin's.
+func (b *Balancer) Choose(now time.Time, d Demand) Choice {
+	s := b.services[d.Service]
+	if s == nil {
+		return Choice{Reason: NoEndpoint}
+	}
+	chain := chainOf(d.Prompt.Parts)
+	home := s.home(now, b.region, chain)
+	best, bestCost := Choice{Reason: NoEndpoint}, math.Inf(1)
+	for _, e := range s.endpoints {
+		if e.down(now) || slices.Contains(d.Excluded, e.entry.ID) {
+			continue
+		}
+		load := e.load(now)
+		uncached := d.Prompt.Tokens - e.cache.held(chain, e == home)
+		predicted := s.predict(e, load, uncached)
+		if e.entry.Region != b.region {
+			predicted += farMS
+		}
+		if !s.fits(e, load, d.Prompt) || predicted > milliseconds(d.Within) {
+			if best.Reason == NoEndpoint {
+				best.Reason = Busy
+			}
+			continue
+		}
+		cost := predicted + e.failures*failurePenaltyMS
+		if cost < bestCost {
+			bestCost = cost
+			best = Choice{Endpoint: e.entry, Predicted: duration(predicted), Uncached: uncached, Load: load}
+		}
+	}
+	return best
+}
+
+// predict returns the time until the first event or the answer, in
+// milliseconds.
+func (s *service) predict(e *endpoint, load Load, uncached int) float64 {
+	if s.engine != nil {
+		return firstEventMS + float64(load.Prefill+uncached)/e.rate
+	}
+	return s.workMS * max(1, float64(load.Running+1)/float64(max(e.entry.Slots, 1)))
+}
+
+// fits tells whether the endpoint has a slot and the memory for the request.
+func (s *service) fits(e *endpoint, load Load, prompt Prompt) bool {
+	if s.engine == nil {
+		return float64(load.Running) < plainQueue*float64(max(e.entry.Slots, 1))
+	}
+	if load.Running >= max(e.entry.Slots, 1) {
+		return false
+	}
+	memory := float64(s.engine.MemoryTokens) * memoryShare
+	return load.Running == 0 || memory == 0 || float64(load.Memory+prompt.Tokens+prompt.Output) <= memory
+}
+
+// home returns the endpoint of the region at which requests with the same
+// shared parts meet; nil when there are no such parts.
+func (s *service) home(now time.Time, region string, chain []link) *endpoint {
+	if len(chain) < 2 {
+		return nil
+	}
+	key := chain[len(chain)-2].key
+	var home *endpoint
+	var highest uint64
+	for _, e := range s.endpoints {
+		if e.entry.Region != region || e.down(now) {
+			continue
+		}
+		score := xxhash.Sum64String(e.entry.ID) ^ key
+		score = mix(score)
+		if home == nil || score > highest {
+			home, highest = e, score
+		}
+	}
+	return home
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/balance/ticket.go
@@ -0,0 +1,97 @@
+package balance
+
+import "time"
+
+// Ticket is a request's place at an endpoint.
+type Ticket struct {
+	// endpoint and service are those of the choice. One that has left or
+	// started again since then is no longer in the balancer.
+	endpoint *endpoint
+	service  *service
+	load     Load
+	chain    []link
+	sent     time.Time
+	// ahead are the prompt tokens that the endpoint had to read, those of this
+	// request included, when it was sent.
+	ahead int
+	begun bool
+	done  bool
+}
+
+// Begin takes the place at the endpoint that Choose returned just before.
+func (b *Balancer) Begin(now time.Time, d Demand, c Choice) *Ticket {
+	t := &Ticket{
+		endpoint: b.endpoints[c.Endpoint.ID], service: b.services[d.Service], chain: chainOf(d.Prompt.Parts), sent: now,
+		load:  Load{Running: 1, Prefill: max(c.Uncached, 0), Memory: d.Prompt.Tokens + d.Prompt.Output},
+		ahead: c.Load.Prefill + max(c.Uncached, 0),
+	}
+	t.endpoint.own = t.endpoint.own.Plus(t.load)
+	return t
+}
+
+// release takes work off the endpoint.
+func (t *Ticket) release(part Load) {
+	e := t.endpoint
+	e.own.Running = max(e.own.Running-part.Running, 0)
+	e.own.Prefill = max(e.own.Prefill-part.Prefill, 0)
+	e.own.Memory = max(e.own.Memory-part.Memory, 0)
+}
+
+// First records the first event of the answer: the prompt has been read.
+func (t *Ticket) First(now time.Time) {
+	if t.begun || t.done {
+		return
+	}
+	t.begun = true
+	t.release(Load{Prefill: t.load.Prefill})
+	t.load.Prefill = 0
+	e := t.endpoint
+	e.cache.read(t.chain)
+	took := milliseconds(now.Sub(t.sent)) - firstEventMS
+	if t.ahead >= rateSampleTokens && took > 0 {
+		sample := min(max(float64(t.ahead)/took, minRate), maxRate)
+		e.rate += smoothing * (sample - e.rate)
+	}
+}
+
+// Outcome says how a request ended at its endpoint.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered requests got the endpoint's whole answer.
+	Answered Outcome = iota
+	// Abandoned requests were given up by the caller.
+	Abandoned
+	// Declined requests were refused by the endpoint, which is full or
+	// leaves.
+	Declined
+	// Failed requests got an error or a part of an answer.
+	Failed
+	// Unreachable endpoints accepted no connection.
+	Unreachable
+)
+
+// End gives the place back.
+func (t *Ticket) End(now time.Time, outcome Outcome) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.release(t.load)
+	e := t.endpoint
+	switch outcome {
+	case Answered:
+		e.failures -= failureSmoothing * e.failures
+		if t.service.engine == nil {
+			t.service.workMS += smoothing * (milliseconds(now.Sub(t.sent)) - t.service.workMS)
+		}
+	case Failed:
+		e.failures += failureSmoothing * (1 - e.failures)
+	case Unreachable:
+		e.failures += failureSmoothing * (1 - e.failures)
+		e.failedAt, e.downUntil = now, now.Add(downFor)
+	case Declined:
+		e.failedAt, e.downUntil = now, now.Add(downLeast)
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,10 +15,10 @@
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/peer"
-	"oleanderramp/internal/platform"
 	"oleanderramp/internal/router"
 	"oleanderramp/internal/scheduling"
 	"oleanderramp/internal/settings"
+	"oleanderramp/internal/telemetry"
 	"oleanderramp/internal/wire"
 )
 
@@ -62,7 +62,7 @@
 	d := &Daemon{
 		settings: s, log: options.Log,
 		self:     &wire.Process{Host: s.Host, Incarnation: newIncarnation(time.Now(), s.Host)},
-		registry: platform.NewRegistry(),
+		registry: telemetry.NewRegistry(),
 	}
 	if err := d.start(options); err != nil {
 		return nil, errors.Join(err, d.Close())
@@ -90,12 +90,12 @@
 		return err
 	}
 	d.held = newBundles(d.log)
-	platform.Gauge(d.registry, "oleanderramp_bundle_version", "Version of the bundle in force; 0 for none.",
+	telemetry.Gauge(d.registry, "oleanderramp_bundle_version", "Version of the bundle in force; 0 for none.",
 		func() float64 { return float64(d.held.Version()) })
 	d.members = newMembers(d.settings, d.self, d.held.Version, d.log)
 	d.dialer = peer.NewDialer(peerHosts(d.settings), peerTLS)
-	platform.ControlTraffic(d.registry, "within_region", d.dialer.Within())
-	platform.ControlTraffic(d.registry, "cross_region", d.dialer.Across())
+	telemetry.ControlTraffic(d.registry, "within_region", d.dialer.Within())
+	telemetry.ControlTraffic(d.registry, "cross_region", d.dialer.Across())
 	if d.settings.HasRole(settings.RoleReplica) {
 		if d.replica, err = newReplicaRole(d.settings, options, d.members, d.dialer, d.log); err != nil {
 			return err
@@ -158,7 +158,7 @@
 	}
 	d.exchanger = peer.NewExchanger(d.dialer)
 	d.scheduling = scheduling.New(scheduling.Config{
-		Self: d.self, Shares: d.held, Log: d.log, Metrics: platform.NewScheduleMetrics(d.registry),
+		Self: d.self, Shares: d.held, Log: d.log, Metrics: telemetry.NewScheduleMetrics(d.registry),
 		Regions: &regions{
 			members: d.members, self: d.settings.Host, exchanger: d.exchanger,
 			local: func() *scheduling.Host { return d.scheduling },
@@ -176,7 +176,7 @@
 	d.client = d.newClient()
 	d.router = router.New(router.Config{
 		Slots: d.dispatcher, Endpoints: d.client, Ledger: newLedger(d.quorum, d.self, d.log),
-		Publisher: d.publisher, Metrics: platform.NewRequestMetrics(d.registry), Log: d.log,
+		Publisher: d.publisher, Metrics: telemetry.NewRequestMetrics(d.registry), Log: d.log,
 		MaxQueued: limits.MaxQueuedRequests, MaxAnswerBytes: limits.MaxAnswerBytes,
 		MaxSavedAnswerBytes: int(limits.MaxSavedAnswerBytes),
 		CommitTimeout:       time.Duration(limits.CommitTimeoutMS) * time.Millisecond,
@@ -216,7 +216,7 @@
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	d.peerServer = peer.NewServer(listener, cfg)
-	platform.ControlTraffic(d.registry, "accepted", d.peerServer.Traffic())
+	telemetry.ControlTraffic(d.registry, "accepted", d.peerServer.Traffic())
 	return nil
 }
 
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -10,8 +10,8 @@
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/operator"
-	"oleanderramp/internal/platform"
 	"oleanderramp/internal/settings"
+	"oleanderramp/internal/telemetry"
 	"oleanderramp/internal/wire"
 	"oleanderramp/pkg/bundle"
 )
@@ -22,7 +22,7 @@
 	tls := d.settings.TLS
 	if d.router != nil {
 		callers := http.NewServeMux()
-		platform.Handle(callers, d, d.registry)
+		telemetry.Handle(callers, d, d.registry)
 		callers.Handle("/", d.callerHandler())
 		if err := d.listen("callers", d.settings.Listen.Callers, tls.Callers, callers); err != nil {
 			return err
@@ -32,7 +32,7 @@
 		}
 	}
 	operators := http.NewServeMux()
-	platform.Handle(operators, d, d.registry)
+	telemetry.Handle(operators, d, d.registry)
 	operators.Handle("/", d.operatorHandler())
 	return d.listen("operators", d.settings.Listen.Operators, tls.Operators, operators)
 }
--- a/internal/daemon/quorumhost.go
+++ b/internal/daemon/quorumhost.go
@@ -7,6 +7,7 @@
 	"google.golang.org/grpc/status"
 
 	"oleanderramp/internal/raft"
+	"oleanderramp/internal/statehost"
 	"oleanderramp/internal/wire"
 )
 
@@ -17,16 +18,10 @@
 )
 
 // Status tells how the replicated log stands, if this replica leads.
-func (h *stateHost) Status(_ context.Context, _ *wire.QuorumStatusRequest) (*wire.QuorumStatusResponse, error) {
-	s := h.replica.Status()
-	if !s.Leads() {
-		return &wire.QuorumStatusResponse{NotLeader: &wire.NotLeader{Leader: s.Leader().Host}}, nil
-	}
-	response := &wire.QuorumStatusResponse{Term: s.Term(), Leader: s.Leader().Host, Commit: s.Commit(), Tolerates: int32(s.Tolerates())}
-	for _, m := range s.Members() {
-		response.Members = append(response.Members, &wire.QuorumMember{
-			Host: m.Member.Host, Replica: m.Member.Replica, Voter: m.Voter, CaughtUp: m.CaughtUp, Match: m.Match,
-		})
+func (h *stateHost) Status(ctx context.Context, request *wire.QuorumStatusRequest) (*wire.QuorumStatusResponse, error) {
+	response, err := h.Host.Status(ctx, request)
+	if err != nil || response.GetNotLeader() != nil {
+		return response, err
 	}
 	for _, waiting := range h.waiting() {
 		response.Waiting = append(response.Waiting, &wire.QuorumMember{Host: waiting.Host, Replica: waiting.Replica})
@@ -95,7 +90,7 @@
 }
 
 func changed(err error) (*wire.QuorumChangeResponse, error) {
-	if notLeader := notLeader(err); notLeader != nil {
+	if notLeader := statehost.NotLeader(err); notLeader != nil {
 		return &wire.QuorumChangeResponse{NotLeader: notLeader}, nil
 	}
 	if err != nil && status.Code(err) == codes.Unknown {
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,123 @@
+package directory_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"oleanderramp/internal/directory"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+func entry(id string, born float64, sequence uint64) directory.Entry {
+	return directory.Entry{ID: id, Service: "s", Address: id + ":1", Born: at(born), Sequence: sequence, Heard: at(born)}
+}
+
+func usable(d *directory.Directory) []string {
+	var ids []string
+	for _, e := range d.Usable() {
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+func TestLateAnnouncementBringsNothingBack(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	c.Check(d.Merge(entry("e", 0, 1)), qt.Equals, directory.Joined)
+	c.Check(d.Merge(entry("e", 0, 3)), qt.Equals, directory.Renewed)
+	leaving := entry("e", 0, 4)
+	leaving.Leaving = true
+	c.Check(d.Merge(leaving), qt.Equals, directory.Left)
+	c.Check(d.Merge(entry("e", 0, 2)), qt.Equals, directory.Stale)
+	// Even a later one of the same start.
+	c.Check(d.Merge(entry("e", 0, 9)), qt.Equals, directory.Renewed)
+	c.Check(usable(d), qt.HasLen, 0)
+	// A new start under the same id does.
+	c.Check(d.Merge(entry("e", 5, 1)), qt.Equals, directory.Joined)
+	c.Check(usable(d), qt.DeepEquals, []string{"e"})
+	// And the former one is over.
+	c.Check(d.Merge(entry("e", 0, 50)), qt.Equals, directory.Stale)
+}
+
+func TestNewStartWithoutBirth(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	e := directory.Entry{ID: "e", Address: "e:1", Sequence: 7, Heard: at(0)}
+	d.Merge(e)
+	e.Sequence, e.Heard = 1, at(1)
+	c.Check(d.Merge(e), qt.Equals, directory.Stale)
+	e.Heard = at(5)
+	c.Check(d.Merge(e), qt.Equals, directory.Joined)
+}
+
+func TestLeave(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	d.Merge(entry("e", 0, 1))
+	c.Check(d.Leave(at(2), "e", time.Time{}), qt.Equals, directory.Left)
+	c.Check(usable(d), qt.HasLen, 0)
+	c.Check(d.Leave(at(2), "e", time.Time{}), qt.Equals, directory.Stale)
+	// An endpoint that is not known yet leaves, and then its first
+	// announcement comes in late.
+	d.Leave(at(2), "unknown", time.Time{})
+	c.Check(d.Merge(entry("unknown", 1, 1)), qt.Equals, directory.Stale)
+	c.Check(usable(d), qt.HasLen, 0)
+	c.Check(d.Merge(entry("unknown", 3, 1)), qt.Equals, directory.Joined)
+}
+
+func TestAddressIsUsedAgain(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	before, after := entry("before", 0, 5), entry("after", 9, 1)
+	before.Address, after.Address = "x:1", "x:1"
+	d.Merge(after)
+	before.Heard = at(20) // Delayed on its way.
+	d.Merge(before)
+	c.Check(usable(d), qt.DeepEquals, []string{"after"})
+	// When the later one leaves, the former does not return.
+	d.Leave(at(21), "after", time.Time{})
+	c.Check(usable(d), qt.HasLen, 0)
+}
+
+func TestForget(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	d.Merge(entry("e", 0, 1))
+	d.Forget(at(59))
+	c.Check(usable(d), qt.DeepEquals, []string{"e"})
+	d.Forget(at(60))
+	c.Check(usable(d), qt.HasLen, 0)
+}
+
+// TestExchangeConverges merges the same announcements in two orders, one of
+// them through another directory.
+func TestExchangeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entries := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) directory.Entry {
+			e := entry(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id"), float64(rapid.IntRange(1, 3).Draw(t, "born")),
+				uint64(rapid.IntRange(1, 4).Draw(t, "sequence")))
+			e.Leaving = rapid.Bool().Draw(t, "leaving")
+			return e
+		}), 1, 12).Draw(t, "entries")
+		one, two, relay := directory.New(), directory.New(), directory.New()
+		for _, e := range entries {
+			one.Merge(e)
+		}
+		for _, e := range rapid.Permutation(entries).Draw(t, "order") {
+			relay.Merge(e)
+			for _, news := range relay.Since(0) {
+				two.Merge(news)
+			}
+		}
+		if got, want := usable(two), usable(one); !slices.Equal(got, want) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/edge/answer.go
@@ -0,0 +1,200 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"oleanderramp/internal/endpoint"
+)
+
+// holdBytes is how much of an answer that is no stream is held back, so that
+// another attempt can take its place.
+const holdBytes = 64 << 10
+
+// errNotJoined ends a resumed stream that does not follow what the caller has.
+var errNotJoined = errors.New("the resumed stream does not follow the last event")
+
+// answer writes the answer to one request. It is the sink of its calls.
+type answer struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// stream is set for routes whose answers are streams of events.
+	stream   bool
+	mayGoOn  bool
+	close    bool
+	ticket   *ticket
+	deadline time.Time
+
+	// status is that of the caller's answer; 0 before there is one.
+	status int
+	// sent is true once a byte of the answer may have left.
+	sent bool
+	// held is what is not sent yet.
+	held bytes.Buffer
+	// lastEvent is the id of the last event that was passed on.
+	lastEvent string
+	// joined is false until the first event of a resumed stream was checked.
+	joined bool
+}
+
+// begin prepares for the next attempt.
+func (a *answer) begin(t *ticket) {
+	a.ticket = t
+	a.joined = a.lastEvent == ""
+	if !a.sent {
+		a.status = 0
+		a.held.Reset()
+	}
+}
+
+// passed tells whether the caller has a part of the answer.
+func (a *answer) passed() bool { return a.sent }
+
+// resumable tells whether what the caller has may go on at another endpoint.
+func (a *answer) resumable() bool { return a.mayGoOn && a.lastEvent != "" }
+
+// Head takes the status and the header of the answer.
+func (a *answer) Head(status int, header http.Header) error {
+	if a.sent {
+		if status != http.StatusOK {
+			return errNotJoined
+		}
+		return nil
+	}
+	a.status = status
+	target := a.w.Header()
+	clear(target)
+	for name, values := range header {
+		target[name] = values
+	}
+	if _, ok := header["Content-Type"]; !ok {
+		// An entry without a value keeps the server from guessing a type.
+		target["Content-Type"] = nil
+	}
+	if a.close {
+		target.Set("Connection", "close")
+	}
+	return nil
+}
+
+// Data passes the next bytes on.
+func (a *answer) Data(p []byte) error {
+	if !a.stream {
+		a.held.Write(p)
+		if a.held.Len() <= holdBytes && !a.sent {
+			return nil
+		}
+		return a.flush()
+	}
+	a.ticket.first(time.Now())
+	if !a.joined {
+		first := eventID(p)
+		if first != "" && !follows(a.lastEvent, first) {
+			return errNotJoined
+		}
+		a.joined = true
+	}
+	if id := lastEventID(p); id != "" {
+		a.lastEvent = id
+	}
+	a.held.Write(p)
+	return a.flush()
+}
+
+// flush sends what is held.
+func (a *answer) flush() error {
+	if !a.sent {
+		a.sent = true
+		_ = a.control.SetWriteDeadline(a.deadline) // Connections without deadlines end with the request's context.
+		a.w.WriteHeader(a.status)
+	}
+	_, err := a.held.WriteTo(a.w)
+	if err != nil {
+		return err
+	}
+	return a.control.Flush()
+}
+
+// finish sends the end of a whole answer.
+func (a *answer) finish() error {
+	if a.sent {
+		return nil
+	}
+	a.sent = true
+	_ = a.control.SetWriteDeadline(a.deadline) // As in flush.
+	a.w.Header().Set("Content-Length", strconv.Itoa(a.held.Len()))
+	a.w.WriteHeader(a.status)
+	_, err := a.held.WriteTo(a.w)
+	return err
+}
+
+// replay takes the endpoint's own error as the answer.
+func (a *answer) replay(err *endpoint.CallError) {
+	_ = a.Head(err.Status, err.Header) // It only keeps them.
+	a.held.Reset()
+	a.held.Write(err.Body)
+}
+
+// errorBody is the JSON body of a refusal or failure.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code    Code    `json:"code"`
+	Message string  `json:"message"`
+	Outcome Outcome `json:"outcome"`
+	Request string  `json:"request"`
+}
+
+// fail answers with the failure.
+func (a *answer) fail(requestID string, f *failure) {
+	header := a.w.Header()
+	clear(header)
+	header.Set("Content-Type", "application/json")
+	if f.retryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', -1, 64))
+	}
+	if a.close {
+		header.Set("Connection", "close")
+	}
+	body, _ := json.Marshal(errorBody{Error: errorDetail{Code: f.code, Message: f.message, Outcome: f.outcome, Request: requestID}}) // It holds plain text only.
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	a.w.WriteHeader(f.status)
+	_, _ = a.w.Write(body) // The caller may be gone.
+}
+
+var idField = []byte("id:")
+
+// eventID returns the id of the first event in p, or "".
+func eventID(p []byte) string {
+	for line := range bytes.Lines(p) {
+		if value, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(value))
+		}
+		if len(bytes.TrimSpace(line)) == 0 {
+			return ""
+		}
+	}
+	return ""
+}
+
+// lastEventID returns the id of the last event in p that has one, or "".
+func lastEventID(p []byte) string {
+	at := bytes.LastIndex(p, append([]byte("\n"), idField...))
+	if at < 0 {
+		return eventID(p)
+	}
+	return eventID(p[at+1:])
+}
+
+// follows tells whether the event with id next comes right after last.
+func follows(last, next string) bool {
+	a, errA := strconv.ParseUint(last, 10, 64)
+	b, errB := strconv.ParseUint(next, 10, 64)
+	return errA != nil || errB != nil || b == a+1
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,123 @@
+// Package edge forwards callers' requests to endpoints as they are, by a
+// routing table: it finds the route and the client account, has an endpoint
+// chosen, passes the answer on as it comes, and repeats only what may be
+// repeated.
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"oleanderramp/internal/balance"
+	"oleanderramp/internal/endpoint"
+	"oleanderramp/pkg/routing"
+)
+
+// Request is one attempt of a caller.
+type Request struct {
+	// ID is the caller's; another attempt of the same caller has another.
+	ID     string
+	Method string
+	// Host names the site that the request is for, without a port.
+	Host string
+	// Target is the path with its query, byte for byte.
+	Target string
+	// Path is the path alone.
+	Path string
+	// Header holds what is forwarded to the endpoint.
+	Header http.Header
+	Body   []byte
+	// Key identifies the client account; empty for none.
+	Key string
+	// Patience is how long the caller waits; 0 when it did not say.
+	Patience time.Duration
+	Prompt   balance.Prompt
+	// Arrived is when the request's head was read.
+	Arrived time.Time
+}
+
+// Send says what an endpoint is told besides the caller's headers.
+type Send struct {
+	// TimeLeft is how long the caller waits from now on.
+	TimeLeft time.Duration
+	Account  string
+	// Endpoint is the id of the one that is meant.
+	Endpoint string
+	// LastEvent is the id of the last event that the caller has; empty to
+	// leave what the caller sent.
+	LastEvent string
+}
+
+// Codec translates between the wire and Request.
+type Codec interface {
+	// Decode reads the head of a request.
+	Decode(r *http.Request) *Request
+	// Outgoing returns the header for an endpoint.
+	Outgoing(request *Request, send Send) http.Header
+}
+
+// Endpoints calls endpoints.
+type Endpoints interface {
+	Do(ctx context.Context, call endpoint.Call, sink endpoint.Sink) (endpoint.Result, error)
+}
+
+// Tables holds the routing table in force.
+type Tables interface {
+	// Table returns nil while no table is known.
+	Table() *routing.Table
+}
+
+// Metrics counts what happens to requests.
+type Metrics interface {
+	Ended(service, outcome, code string, took time.Duration)
+	Waited(service string, wait time.Duration)
+	Retried(service string)
+	Served(service, account string, cost float64)
+}
+
+// Outcome says how a request ended.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeOK Outcome = "ok"
+	// OutcomeNotRun requests did not run and will not.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeFailed requests may have run.
+	OutcomeFailed Outcome = "failed"
+	// OutcomeAbandoned requests were given up by the caller.
+	OutcomeAbandoned Outcome = "abandoned"
+)
+
+// Code says why a request was not answered.
+type Code string
+
+// The codes.
+const (
+	CodeNoTable       Code = "no_routing_table"
+	CodeNoRoute       Code = "no_route"
+	CodeUnknownKey    Code = "unknown_key"
+	CodeBodyTooLarge  Code = "body_too_large"
+	CodeBadBody       Code = "bad_body"
+	CodeQuarantined   Code = "quarantined"
+	CodeNoEndpoint    Code = "no_endpoint"
+	CodeBusy          Code = "busy"
+	CodeBeyondShare   Code = "beyond_share"
+	CodeDeclined      Code = "endpoint_declined"
+	CodeUnreachable   Code = "endpoint_unreachable"
+	CodeEndpointError Code = "endpoint_error"
+	CodeBroken        Code = "answer_broken"
+	CodeTimeout       Code = "timeout"
+	CodeCallerGone    Code = "caller_gone"
+)
+
+// failure is the end of a request without the endpoint's whole answer.
+type failure struct {
+	status  int
+	outcome Outcome
+	code    Code
+	// retryAfter is when to come back; 0 for no word on that.
+	retryAfter time.Duration
+	message    string
+}
--- /dev/null
+++ b/internal/edge/forwarder.go
@@ -0,0 +1,212 @@
+package edge
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"oleanderramp/internal/endpoint"
+	"oleanderramp/internal/event"
+	"oleanderramp/internal/retry"
+	"oleanderramp/pkg/routing"
+)
+
+// Config says what a Forwarder needs.
+type Config struct {
+	Codec     Codec
+	Endpoints Endpoints
+	Tables    Tables
+	Gate      *Gate
+	Metrics   Metrics
+	Log       log.Interface
+	// MaxAnswerBytes bounds an answer.
+	MaxAnswerBytes int64
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	cfg Config
+	// active counts the requests under way.
+	active   atomic.Int64
+	draining atomic.Bool
+
+	// mu guards the budget of each service.
+	mu     sync.Mutex
+	budget *retry.Policy
+}
+
+// New returns a forwarder without requests.
+func New(cfg Config) *Forwarder {
+	return &Forwarder{
+		cfg:    cfg,
+		budget: retry.New(retry.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
+	}
+}
+
+// SetRetryBudget changes how many further attempts each request earns its
+// service at this router, and how many can be saved up.
+func (f *Forwarder) SetRetryBudget(fraction, burst float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.SetBudget(fraction, burst)
+}
+
+func (f *Forwarder) spend(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Spend(service)
+}
+
+func (f *Forwarder) earn(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Request(service)
+}
+
+// Drain makes all answers from now on end their connections.
+func (f *Forwarder) Drain() { f.draining.Store(true) }
+
+// Active returns the number of requests under way.
+func (f *Forwarder) Active() int { return int(f.active.Load()) }
+
+// task is a request on its way.
+type task struct {
+	request *Request
+	route   *routing.Route
+	service string
+	account string
+	// version is that of the routing table that allowed the request.
+	version uint64
+	// objective is when the first event or the answer is due, deadline when
+	// the caller's or the route's time is over.
+	objective time.Time
+	deadline  time.Time
+	// arrivals counts the endpoints that the request has reached.
+	arrivals int
+	excluded []string
+	// mayHaveRun is true once an endpoint may have begun to run the request.
+	mayHaveRun bool
+	// answer is what the caller has of it.
+	answer *answer
+}
+
+// resolve finds the route and the account of the request.
+func (f *Forwarder) resolve(request *Request) (*task, *failure) {
+	table := f.cfg.Tables.Table()
+	if table == nil {
+		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeNoTable, retryAfter: time.Second, message: "no routing table is known yet"}
+	}
+	t := &task{request: request, version: table.Version()}
+	t.route = table.Match(request.Host, request.Path)
+	if t.route == nil {
+		return t, &failure{status: 404, outcome: OutcomeNotRun, code: CodeNoRoute, message: "no route for the host and path"}
+	}
+	if !t.route.Public {
+		account, ok := table.Account(request.Key)
+		if !ok {
+			return t, &failure{status: 401, outcome: OutcomeNotRun, code: CodeUnknownKey, message: "the key is unknown"}
+		}
+		t.account = account
+	}
+	t.service = t.route.Pick(pickNumber(request.ID))
+	patience := t.route.Timeout
+	if request.Patience > 0 {
+		patience = min(patience, request.Patience)
+	}
+	t.deadline = request.Arrived.Add(patience)
+	t.objective = request.Arrived.Add(min(t.route.Objective, patience))
+	if t.route.Objective <= 0 {
+		t.objective = t.deadline
+	}
+	return t, nil
+}
+
+// pickNumber spreads requests over the services of a route by their id.
+func pickNumber(id string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // A hash takes all bytes.
+	return h.Sum64()
+}
+
+// logFields returns what each line about the task says.
+func (t *task) logFields() event.Fields {
+	fields := event.Fields{"request": t.request.ID, "routing_version": t.version}
+	if t.route != nil {
+		fields["route"], fields["service"], fields["account"] = t.route.Name, t.service, t.account
+	}
+	return fields
+}
+
+// ended logs and counts the end of a request.
+func (f *Forwarder) ended(t *task, fail *failure) {
+	took := time.Since(t.request.Arrived)
+	fields := t.logFields()
+	fields["took_ms"], fields["attempts"] = took.Milliseconds(), t.arrivals
+	if fail == nil {
+		fields["outcome"], fields["status"] = string(OutcomeOK), t.answer.status
+		f.cfg.Metrics.Ended(t.service, string(OutcomeOK), "", took)
+		event.RequestAnswered.Log(f.cfg.Log, fields)
+		return
+	}
+	fields["outcome"], fields["code"], fields["error"], fields["status"] = string(fail.outcome), string(fail.code), fail.message, fail.status
+	f.cfg.Metrics.Ended(t.service, string(fail.outcome), string(fail.code), took)
+	switch fail.outcome {
+	case OutcomeAbandoned:
+		event.CallAbandoned.Log(f.cfg.Log, fields)
+	case OutcomeNotRun:
+		event.RequestRefused.Log(f.cfg.Log, fields)
+	default:
+		event.RequestFailed.Log(f.cfg.Log, fields)
+	}
+}
+
+// call returns the call to the endpoint of the placement.
+func (f *Forwarder) call(now time.Time, t *task, p placement) endpoint.Call {
+	left := t.deadline.Sub(now)
+	send := Send{TimeLeft: left, Account: t.account, Endpoint: p.choice.Endpoint.ID, LastEvent: t.answer.lastEvent}
+	return endpoint.Call{
+		RequestID: t.request.ID, Address: p.choice.Endpoint.Address, Host: t.request.Host,
+		Method: t.request.Method, Path: t.request.Target, Body: t.request.Body,
+		Header:        f.cfg.Codec.Outgoing(t.request, send),
+		HeaderTimeout: f.headerTimeout(t, p, left), ProgressTimeout: f.progressTimeout(t, left),
+		MaxAnswerBytes: f.cfg.MaxAnswerBytes, Stream: t.route.Kind == routing.Streaming,
+		Idempotent: t.route.Idempotent(), Pooled: t.route.Kind != routing.Unsafe,
+		Raw: true, RequireEcho: true,
+	}
+}
+
+const (
+	// silentObjectives is after how many objectives without an answer an
+	// idempotent request is tried elsewhere.
+	silentObjectives = 2
+	// silentPauses is after how many of the longest pauses a stream that may
+	// go on elsewhere does so.
+	silentPauses = 3
+)
+
+// headerTimeout returns how long the answer may take to begin. A request that
+// runs at most once is given all the time that there is.
+func (f *Forwarder) headerTimeout(t *task, p placement, left time.Duration) time.Duration {
+	if !t.route.Idempotent() || t.route.Objective <= 0 {
+		return left
+	}
+	return min(left, silentObjectives*max(t.route.Objective, p.choice.Predicted))
+}
+
+// progressTimeout returns how long the answer may pause.
+func (f *Forwarder) progressTimeout(t *task, left time.Duration) time.Duration {
+	if !t.route.Idempotent() || t.route.MaxPause <= 0 {
+		return left
+	}
+	return min(left, silentPauses*t.route.MaxPause)
+}
+
+// withDeadline returns a context that ends with the caller's time.
+func (t *task) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, t.deadline)
+}
--- /dev/null
+++ b/internal/edge/gate.go
@@ -0,0 +1,218 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"oleanderramp/internal/balance"
+	"oleanderramp/internal/directory"
+	"oleanderramp/internal/share"
+	"oleanderramp/pkg/routing"
+)
+
+const (
+	// withinLimit is the part of the objective in which an endpoint must be
+	// predicted to answer a request within its account's share.
+	withinLimit = 0.8
+	// beyondLimit is the same for requests beyond the share.
+	beyondLimit = 0.4
+	// holdPart is the part of the objective for which a request may wait for
+	// an endpoint.
+	holdPart = 1.0 / 8
+	// busyRetryAfter is when a caller that was refused for want of room may
+	// come back.
+	busyRetryAfter = 2 * time.Second
+)
+
+// wish is a request that needs an endpoint.
+type wish struct {
+	demand  balance.Demand
+	account string
+	// objective is what is left of it now.
+	objective time.Duration
+	// tokens is what the request costs of its account's share; 0 for requests
+	// that no share bounds.
+	tokens float64
+	// again is set for further attempts, which are no new request.
+	again bool
+}
+
+// placement is the answer to a wish.
+type placement struct {
+	choice balance.Choice
+	ticket *ticket
+	within bool
+	share  share.Share
+}
+
+// Gate places requests at endpoints. It is safe for concurrent use.
+type Gate struct {
+	// mu guards all below.
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	ledger   *share.Ledger
+	capacity float64
+	waiting  []*waiter
+}
+
+// waiter is a wish that found no endpoint yet.
+type waiter struct {
+	wish   wish
+	within bool
+	placed chan placement
+}
+
+// ticket is a place at an endpoint.
+type ticket struct {
+	gate  *Gate
+	inner *balance.Ticket
+}
+
+// NewGate returns a gate for a router in the region. The shares are counted
+// over the window.
+func NewGate(region string, window time.Duration) *Gate {
+	return &Gate{balancer: balance.New(region), ledger: share.New(window)}
+}
+
+// Update sets the endpoints and the routing table.
+func (g *Gate) Update(now time.Time, entries []directory.Entry, table *routing.Table, window time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Update(entries, table)
+	g.capacity = table.Limits().TokensPerSecond * window.Seconds()
+	g.placeWaiting(now)
+}
+
+// SetOthers takes the work and the use of shares of the other routers.
+func (g *Gate) SetOthers(now time.Time, loads map[string]balance.Load, uses []share.Use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.SetOthers(now, loads)
+	g.ledger.SetOthers(uses)
+	g.placeWaiting(now)
+}
+
+// Own returns the work and the use of shares of this router.
+func (g *Gate) Own(now time.Time) (map[string]balance.Load, []share.Use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.balancer.Own(), g.ledger.Own(now)
+}
+
+// place finds an endpoint, or waits a little for one.
+func (g *Gate) place(ctx context.Context, w wish) (placement, *failure) {
+	now := time.Now()
+	g.mu.Lock()
+	within, s := g.claim(now, w)
+	p, ok := g.try(now, w, within)
+	if ok || !within || p.choice.Reason == balance.NoEndpoint {
+		g.mu.Unlock()
+		p.share = s
+		if !ok {
+			return p, refusal(p.choice.Reason, within)
+		}
+		return p, nil
+	}
+	waiting := &waiter{wish: w, within: within, placed: make(chan placement, 1)}
+	g.waiting = append(g.waiting, waiting)
+	g.mu.Unlock()
+	return g.wait(ctx, waiting, s)
+}
+
+// claim counts the request and tells whether it is within its account's share.
+func (g *Gate) claim(now time.Time, w wish) (bool, share.Share) {
+	if w.tokens == 0 || g.capacity == 0 {
+		return true, share.Share{}
+	}
+	if !w.again {
+		g.ledger.Ask(now, w.account, w.tokens)
+	}
+	s := g.ledger.Share(now, w.account, g.capacity)
+	return w.again || s.Within(w.tokens), s
+}
+
+// try chooses an endpoint and takes a place there.
+func (g *Gate) try(now time.Time, w wish, within bool) (placement, bool) {
+	limit := withinLimit
+	if !within {
+		limit = beyondLimit
+	}
+	w.demand.Within = time.Duration(float64(w.objective) * limit)
+	choice := g.balancer.Choose(now, w.demand)
+	if choice.Reason != "" {
+		return placement{choice: choice, within: within}, false
+	}
+	if w.tokens > 0 && !w.again {
+		g.ledger.Admit(now, w.account, w.tokens)
+	}
+	return placement{
+		choice: choice, within: within,
+		ticket: &ticket{gate: g, inner: g.balancer.Begin(now, w.demand, choice)},
+	}, true
+}
+
+// wait holds the request until an endpoint has room, for a part of its
+// objective.
+func (g *Gate) wait(ctx context.Context, w *waiter, s share.Share) (placement, *failure) {
+	timer := time.NewTimer(time.Duration(float64(w.wish.objective) * holdPart))
+	defer timer.Stop()
+	select {
+	case p := <-w.placed:
+		p.share = s
+		return p, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting = slices.DeleteFunc(g.waiting, func(other *waiter) bool { return other == w })
+	select {
+	case p := <-w.placed:
+		p.share = s
+		return p, nil
+	default:
+		return placement{within: w.within, share: s}, refusal(balance.Busy, w.within)
+	}
+}
+
+// placeWaiting places what waits and fits by now.
+func (g *Gate) placeWaiting(now time.Time) {
+	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool {
+		p, ok := g.try(now, w.wish, w.within)
+		if ok {
+			w.placed <- p
+		}
+		return ok
+	})
+}
+
+// first records the first event of an answer.
+func (t *ticket) first(now time.Time) {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	t.inner.First(now)
+	t.gate.placeWaiting(now)
+}
+
+// end gives the place back.
+func (t *ticket) end(now time.Time, outcome balance.Outcome) {
+	t.gate.mu.Lock()
+	defer t.gate.mu.Unlock()
+	t.inner.End(now, outcome)
+	t.gate.placeWaiting(now)
+}
+
+func refusal(reason balance.Reason, within bool) *failure {
+	f := &failure{status: 503, outcome: OutcomeNotRun, retryAfter: busyRetryAfter}
+	switch {
+	case reason == balance.NoEndpoint:
+		f.code, f.message = CodeNoEndpoint, "no endpoint can be reached"
+	case within:
+		f.code, f.message = CodeBusy, "no endpoint can answer in time"
+	default:
+		f.code, f.message = CodeBeyondShare, "the client account has used its share"
+	}
+	return f
+}
--- /dev/null
+++ b/internal/edge/handler.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"oleanderramp/pkg/routing"
+)
+
+// ServeHTTP forwards one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	request := f.cfg.Codec.Decode(r)
+	a := &answer{w: w, control: http.NewResponseController(w), close: f.draining.Load()}
+	t, failed := f.resolve(request)
+	if t == nil {
+		t = &task{request: request}
+	}
+	t.answer = a
+	if failed == nil {
+		failed = readBody(w, r, t, f.cfg.Tables.Table())
+	}
+	if failed == nil {
+		a.stream, a.mayGoOn, a.deadline = t.isStream(), t.isStream() && t.route.Resumable, t.deadline.Add(writeSlack)
+		failed = f.run(r.Context(), t)
+	}
+	f.answerEnd(t, failed)
+}
+
+// writeSlack is how long after the caller's time an answer may still be
+// written.
+const writeSlack = 500 * time.Millisecond
+
+// answerEnd gives the caller the end of its answer.
+func (f *Forwarder) answerEnd(t *task, failed *failure) {
+	a := t.answer
+	if failed == nil {
+		if err := a.finish(); err != nil {
+			failed = &failure{outcome: OutcomeAbandoned, code: CodeCallerGone, message: err.Error()}
+		}
+	}
+	f.ended(t, failed)
+	switch {
+	case failed == nil:
+	case a.sent || failed.outcome == OutcomeAbandoned:
+		// A cut connection is how the caller knows that the rest is missing.
+		panic(http.ErrAbortHandler)
+	case failed.code == CodeEndpointError:
+		_ = a.finish() // The caller may be gone.
+	default:
+		a.fail(t.request.ID, failed)
+	}
+}
+
+// readBody reads the whole body of the request.
+func readBody(w http.ResponseWriter, r *http.Request, t *task, table *routing.Table) *failure {
+	body := r.Body
+	if limit := table.Limits().MaxBodyBytes; limit > 0 {
+		body = http.MaxBytesReader(w, body, limit)
+	}
+	var err error
+	t.request.Body, err = io.ReadAll(body)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &tooLarge):
+		return &failure{status: http.StatusRequestEntityTooLarge, outcome: OutcomeNotRun, code: CodeBodyTooLarge, message: "the body is too large"}
+	default:
+		return &failure{outcome: OutcomeAbandoned, code: CodeBadBody, message: "the body did not come whole: " + err.Error()}
+	}
+}
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -28,11 +28,11 @@
 	if response.StatusCode < http.StatusOK {
 		return a.problem(WrongAnswer, fmt.Errorf("status %d is no final answer", response.StatusCode))
 	}
-	if response.StatusCode >= http.StatusInternalServerError {
+	if response.StatusCode >= http.StatusInternalServerError || a.headers.refused(response.StatusCode, response.Header) {
 		return a.receiveError(response)
 	}
 	stream := a.call.Stream && isEventStream(response.Header)
-	if !stream && !hasEnd(a.call.Method, response) {
+	if !stream && !a.call.Raw && !hasEnd(a.call.Method, response) {
 		return a.problem(Truncated, errors.New("the answer states no length, so its end can't be told"))
 	}
 	if response.ContentLength > a.call.MaxAnswerBytes {
@@ -41,10 +41,14 @@
 	if err := a.sink.Head(response.StatusCode, forwardable(response.Header)); err != nil {
 		return a.problem(CallerGone, err)
 	}
-	if stream {
+	switch {
+	case stream && a.call.Raw:
+		return a.receiveRawStream(config, response.Body)
+	case stream:
 		return a.receiveStream(config, response.Body)
+	default:
+		return a.receiveBody(response)
 	}
-	return a.receiveBody(response)
 }
 
 func (a *attempt) problem(kind Kind, err error) *CallError {
@@ -52,7 +56,7 @@
 }
 
 func (a *attempt) checkEcho(header http.Header) *CallError {
-	echo := header.Get(HeaderRequest)
+	echo := header.Get(a.headers.Request)
 	if echo == a.call.RequestID || echo == "" && !a.call.RequireEcho {
 		return nil
 	}
@@ -67,12 +71,12 @@
 		return a.failure(Truncated, err)
 	}
 	kind := EndpointError
-	notRun := response.Header.Get(HeaderOutcome) == OutcomeNotRun
-	if response.StatusCode == http.StatusServiceUnavailable && notRun {
+	if a.headers.refused(response.StatusCode, response.Header) {
 		kind = Refused
 	}
 	callErr := a.problem(kind, nil)
 	callErr.Body = body
+	callErr.Header = forwardable(response.Header)
 	return callErr
 }
 
@@ -96,7 +100,9 @@
 		if callErr != nil {
 			return callErr
 		}
-		usage.add(buffer[:n])
+		if !a.call.Raw {
+			usage.add(buffer[:n])
+		}
 		if callErr := a.pass(buffer[:n]); callErr != nil {
 			return callErr
 		}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -43,14 +43,23 @@
 	// Incarnation is the one that the endpoint announced; 0 when unknown. A
 	// probe that meets another one tells that the endpoint has restarted.
 	Incarnation uint64
-	// RequireEcho refuses answers without HeaderRequest.
+	// RequireEcho refuses answers without the request's id.
 	RequireEcho bool
+	// Host is the value of the Host header; empty for the address.
+	Host string
+	// Raw passes the answer on as it is: of any status below 500, a stream
+	// until its connection or its chunks end, and without counting tokens.
+	Raw bool
+	// Pooled lets a call that may not be repeated use an idle connection. Its
+	// fate is open when the endpoint closes that at the same moment.
+	Pooled bool
 }
 
 // Sink takes an answer as it comes. An error from it means that the caller is
 // gone: the call is cancelled at the endpoint.
 type Sink interface {
-	// Head is called once, before Data, for a status below 500.
+	// Head is called once, before Data, for a status below 500. The header
+	// belongs to the sink.
 	Head(status int, header http.Header) error
 	// Data gets the next bytes of the body. Of a stream these are whole
 	// events. The sink must not keep p.
@@ -93,14 +102,18 @@
 		c.config.Metrics.Called(call.Address, 0, time.Since(start))
 		return a.result, nil
 	}
-	c.examine(ctx, call, a, err)
+	if call.Raw {
+		c.distrustSilent(call, err)
+	} else {
+		c.examine(ctx, call, a, err)
+	}
 	c.config.Metrics.Called(call.Address, err.Kind, time.Since(start))
 	return a.result, err
 }
 
 // attempt makes one exchange.
 func (c *Client) attempt(ctx context.Context, call Call, sink Sink, transport *http.Transport) (*attempt, *CallError) {
-	a := newAttempt(ctx, call, sink)
+	a := newAttempt(ctx, c.config.Headers, call, sink)
 	defer a.end()
 	return a, a.run(c.config, transport)
 }
@@ -124,21 +137,29 @@
 	case Silent, ConnectionLost, Truncated:
 		err.Health = c.health(context.WithoutCancel(ctx), call.Address, call.Incarnation)
 	}
-	if err.Kind == Silent && err.Reused {
-		c.distrust(call.Address)
-	}
+	c.distrustSilent(call, err)
 	unwanted := err.Kind == TooLarge || err.Kind == CallerGone && err.sent
 	if unwanted && call.Stream {
 		c.Cancel(call)
 	}
 }
 
+// distrustSilent distrusts the idle connections to an endpoint when a reused
+// one was silent.
+func (c *Client) distrustSilent(call Call, err *CallError) {
+	if err.Kind == Silent && err.Reused {
+		c.distrust(call.Address)
+	}
+}
+
 // attempt is one exchange on one connection.
 type attempt struct {
-	call   Call
-	sink   Sink
-	ctx    context.Context
-	cancel context.CancelCauseFunc
+	// headers are those of ClientConfig.
+	headers Headers
+	call    Call
+	sink    Sink
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
 	// timer ends the attempt with errSilent.
 	timer  *time.Timer
 	start  time.Time
@@ -152,8 +173,8 @@
 	reused       bool
 }
 
-func newAttempt(ctx context.Context, call Call, sink Sink) *attempt {
-	a := &attempt{call: call, sink: sink, start: time.Now()}
+func newAttempt(ctx context.Context, headers Headers, call Call, sink Sink) *attempt {
+	a := &attempt{headers: headers, call: call, sink: sink, start: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.timer = time.AfterFunc(call.HeaderTimeout, func() { a.cancel(errSilent) })
 	return a
@@ -188,16 +209,28 @@
 // rewound. A call whose body can't be such goes out on a fresh connection, on
 // which the transport repeats nothing.
 func (a *attempt) request() (*http.Request, error) {
-	target := "http://" + a.call.Address + a.call.Path
+	target := "http://" + a.call.Address
+	if !a.call.Raw {
+		target += a.call.Path
+	}
 	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
 	ctx := httptrace.WithClientTrace(a.ctx, trace)
 	request, err := http.NewRequestWithContext(ctx, a.call.Method, target, nil)
 	if err != nil {
 		return nil, err
 	}
+	if a.call.Raw {
+		// The path goes out byte for byte.
+		request.URL.Opaque = a.call.Path
+		request.Host = a.call.Host
+	}
 	request.Header = forwardable(a.call.Header)
 	if a.call.RequestID != "" {
-		request.Header.Set(HeaderRequest, a.call.RequestID)
+		request.Header.Set(a.headers.Request, a.call.RequestID)
+	}
+	if a.call.Raw && request.Header.Get("User-Agent") == "" {
+		// An empty value keeps the transport from naming itself.
+		request.Header.Set("User-Agent", "")
 	}
 	request.ContentLength = int64(len(a.call.Body))
 	if a.call.rewindable() {
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -42,6 +42,9 @@
 	defaultMaxCancels      = 64
 )
 
+// keepAliveProbes is how many unanswered probes end a silent connection.
+const keepAliveProbes = 2
+
 // ClientConfig sets the limits of a Client. Zero fields take their defaults.
 type ClientConfig struct {
 	DialTimeout time.Duration
@@ -63,10 +66,36 @@
 	// MaxCancels bounds the cancel calls that are under way; more are left to
 	// the closed connection.
 	MaxCancels int
+	// Headers names the headers of the endpoints' protocol.
+	Headers Headers
+	// KeepAlive is how long a connection is silent before it is probed; 0 for
+	// the system's default.
+	KeepAlive time.Duration
 	// Metrics counts the calls. Optional.
 	Metrics Metrics
 }
 
+// Headers names the headers with which endpoints tell which request an answer
+// belongs to, and that they did not run it.
+type Headers struct {
+	// Request carries the request id to the endpoint and back.
+	Request string
+	// NotRun says that the endpoint did not run the call: with NotRunValue on
+	// an answer of status 503, or when that is empty, with any value on any
+	// failed status. Status 421 then says so by itself.
+	NotRun      string
+	NotRunValue string
+}
+
+// refused tells whether the endpoint states that it did not run the call.
+func (h Headers) refused(status int, header http.Header) bool {
+	value := header.Get(h.NotRun)
+	if h.NotRunValue != "" {
+		return status == http.StatusServiceUnavailable && value == h.NotRunValue
+	}
+	return status == http.StatusMisdirectedRequest || status >= http.StatusBadRequest && value != ""
+}
+
 // Metrics counts what the client does. Its methods are called from many
 // goroutines.
 type Metrics interface {
@@ -89,6 +118,9 @@
 	setDefault(&c.MaxHeaderBytes, defaultMaxHeaderBytes)
 	setDefault(&c.MaxEventBytes, defaultMaxEventBytes)
 	setDefault(&c.MaxCancels, defaultMaxCancels)
+	if c.Headers == (Headers{}) {
+		c.Headers = Headers{Request: HeaderRequest, NotRun: HeaderOutcome, NotRunValue: OutcomeNotRun}
+	}
 	if c.Metrics == nil {
 		c.Metrics = noMetrics{}
 	}
@@ -138,6 +170,11 @@
 
 func newTransport(config ClientConfig) *http.Transport {
 	dialer := &net.Dialer{Timeout: config.DialTimeout}
+	if config.KeepAlive > 0 {
+		dialer.KeepAliveConfig = net.KeepAliveConfig{
+			Enable: true, Idle: config.KeepAlive, Interval: config.KeepAlive, Count: keepAliveProbes,
+		}
+	}
 	return &http.Transport{
 		Proxy: nil,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -172,7 +209,8 @@
 // the same time, which would leave the call's fate open. So does one that the
 // transport could repeat by itself.
 func (c *Client) transport(call Call) *http.Transport {
-	if !call.Idempotent || call.rewindable() || c.isDistrusted(call.Address) {
+	repeatable := call.Idempotent || call.Pooled
+	if !repeatable || call.rewindable() || c.isDistrusted(call.Address) {
 		return c.fresh
 	}
 	return c.pooled
--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 )
 
 // Kind says how a call failed.
@@ -89,6 +90,8 @@
 	// Body holds at most errorBodyBytes.
 	Status int
 	Body   []byte
+	// Header is that of the answer, without what concerns the connection.
+	Header http.Header
 	// Reused says that the call used a connection that was idle before.
 	Reused bool
 	// sent says that a byte of the call may have left.
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -33,6 +33,50 @@
 	}
 }
 
+// receiveRawStream passes the whole events of a stream to the sink, until its
+// body ends. What is left of an event that did not end is no part of it.
+func (a *attempt) receiveRawStream(config ClientConfig, body io.Reader) *CallError {
+	var pending []byte
+	buffer := make([]byte, rawReadBytes)
+	for {
+		n, ended, callErr := a.read(body, buffer)
+		pending = append(pending, buffer[:n]...)
+		whole, count := wholeEvents(pending)
+		if failed := a.pass(pending[:whole]); failed != nil {
+			return failed
+		}
+		a.result.Events += count
+		pending = append(pending[:0], pending[whole:]...)
+		switch {
+		case callErr != nil:
+			return callErr
+		case ended && len(pending) > 0:
+			return a.problem(Truncated, errors.New("the stream ended within an event"))
+		case ended:
+			a.result.Complete = true
+			return nil
+		case len(pending) > config.MaxEventBytes:
+			return a.problem(TooLarge, errEventTooLarge)
+		}
+	}
+}
+
+// rawReadBytes is the size of one read of a raw stream, whose events are small.
+const rawReadBytes = 4 << 10
+
+// wholeEvents returns the length of the whole events that p begins with, and
+// their number.
+func wholeEvents(p []byte) (length, count int) {
+	for {
+		size := eventLen(p[length:])
+		if size == 0 {
+			return length, count
+		}
+		length += size
+		count++
+	}
+}
+
 // passEvents passes the events that p completes.
 func (a *attempt) passEvents(scanner *eventScanner, p []byte) *CallError {
 	whole, err := scanner.add(p)
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -8,12 +8,15 @@
 
 // Daemon start and stop.
 var (
-	DaemonStarted  = define(100, log.InfoLevel, "daemon started")
-	DaemonDraining = define(102, log.InfoLevel, "daemon draining")
-	DaemonStopped  = define(103, log.InfoLevel, "daemon stopped")
-	RequestsCut    = define(104, log.ErrorLevel, "requests cut at shutdown")
-	DaemonFailed   = define(106, log.ErrorLevel, "daemon failed")
-	ListenerOpened = define(107, log.InfoLevel, "listener opened")
+	DaemonStarted      = define(100, log.InfoLevel, "daemon started")
+	DaemonDraining     = define(102, log.InfoLevel, "daemon draining")
+	DaemonStopped      = define(103, log.InfoLevel, "daemon stopped")
+	RequestsCut        = define(104, log.ErrorLevel, "requests cut at shutdown")
+	DaemonFailed       = define(106, log.ErrorLevel, "daemon failed")
+	ListenerOpened     = define(107, log.InfoLevel, "listener opened")
+	SettingsReloaded   = define(108, log.InfoLevel, "settings reloaded")
+	SettingsUnreadable = define(109, log.ErrorLevel, "settings can't be reloaded")
+	LinesDropped       = define(110, log.WarnLevel, "log lines dropped")
 )
 
 // Requests of callers.
@@ -63,22 +66,28 @@
 
 // Quorum and configuration bundles.
 var (
-	LeaderChanged   = define(500, log.InfoLevel, "leader changed")
-	QuorumLost      = define(501, log.ErrorLevel, "quorum lost")
-	BundleInForce   = define(506, log.InfoLevel, "bundle in force")
-	BundleStale     = define(507, log.ErrorLevel, "bundle stale")
-	ReplicaAdded    = define(508, log.InfoLevel, "replica added")
-	ReplicaRemoved  = define(509, log.InfoLevel, "replica removed")
-	ReplicaCaughtUp = define(510, log.InfoLevel, "replica caught up")
-	LogDamaged      = define(514, log.ErrorLevel, "log damaged")
-	BundleRefused   = define(517, log.ErrorLevel, "bundle from quorum refused")
+	LeaderChanged     = define(500, log.InfoLevel, "leader changed")
+	QuorumLost        = define(501, log.ErrorLevel, "quorum lost")
+	BundleInForce     = define(506, log.InfoLevel, "bundle in force")
+	BundleStale       = define(507, log.ErrorLevel, "bundle stale")
+	ReplicaAdded      = define(508, log.InfoLevel, "replica added")
+	ReplicaRemoved    = define(509, log.InfoLevel, "replica removed")
+	ReplicaCaughtUp   = define(510, log.InfoLevel, "replica caught up")
+	LogDamaged        = define(514, log.ErrorLevel, "log damaged")
+	BundleRefused     = define(517, log.ErrorLevel, "bundle from quorum refused")
+	RepairFailed      = define(518, log.WarnLevel, "change of the quorum failed")
+	RoutingAccepted   = define(519, log.InfoLevel, "routing table accepted")
+	RoutingRefused    = define(520, log.WarnLevel, "order on the routing table refused")
+	RoutingInForce    = define(521, log.InfoLevel, "routing table in force")
+	RoutingUnreadable = define(522, log.ErrorLevel, "routing table unreadable")
 )
 
 // Membership.
 var (
-	PeerUp      = define(600, log.InfoLevel, "peer up")
-	PeerDown    = define(601, log.WarnLevel, "peer down")
-	PeerStarted = define(602, log.InfoLevel, "peer restarted")
+	PeerUp         = define(600, log.InfoLevel, "peer up")
+	PeerDown       = define(601, log.WarnLevel, "peer down")
+	PeerStarted    = define(602, log.InfoLevel, "peer restarted")
+	PrimaryChanged = define(603, log.InfoLevel, "primary control host changed")
 )
 
 // Operators.
--- a/internal/event/usage_test.go
+++ b/internal/event/usage_test.go
@@ -19,7 +19,7 @@
 // usedEvents returns the names after "event." in the program's source.
 func usedEvents(c *qt.C) map[string]bool {
 	used := map[string]bool{}
-	for _, root := range []string{"../../cmd", "../../internal"} {
+	for _, root := range []string{"../../cmd", "../../internal", "../../platform"} {
 		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
 			if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 				return err
--- /dev/null
+++ b/internal/logring/logring.go
@@ -0,0 +1,110 @@
+// Package logring writes log lines without ever blocking those who log: a line
+// that finds the ring full is dropped and counted.
+package logring
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// capacity bounds the lines that wait to be written.
+	capacity = 4096
+	// batchBytes bounds what is written at once.
+	batchBytes = 32 << 10
+	// dropReport is the time between two reports of dropped lines.
+	dropReport = time.Second
+)
+
+// Ring is a writer of log lines. It is safe for concurrent use.
+type Ring struct {
+	lines   chan []byte
+	dropped atomic.Uint64
+	onDrop  atomic.Pointer[func(uint64)]
+	stop    chan struct{}
+	once    sync.Once
+	done    sync.WaitGroup
+}
+
+// New starts a ring that writes to w.
+func New(w io.Writer) *Ring {
+	r := &Ring{lines: make(chan []byte, capacity), stop: make(chan struct{})}
+	r.done.Go(func() {
+		ticker := time.NewTicker(dropReport)
+		defer ticker.Stop()
+		for {
+			select {
+			case line := <-r.lines:
+				r.write(w, line)
+			case <-ticker.C:
+				r.report()
+			case <-r.stop:
+				r.finish(w)
+				return
+			}
+		}
+	})
+	return r
+}
+
+// OnDrop sets what is called, once a second at most, with the number of lines
+// that were dropped.
+func (r *Ring) OnDrop(report func(lines uint64)) { r.onDrop.Store(&report) }
+
+// Write queues one line. It never fails and never blocks.
+func (r *Ring) Write(p []byte) (int, error) {
+	line := make([]byte, len(p))
+	copy(line, p)
+	select {
+	case r.lines <- line:
+	default:
+		r.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// write writes the line with those that wait already.
+func (r *Ring) write(w io.Writer, line []byte) {
+	for len(line) < batchBytes {
+		select {
+		case more := <-r.lines:
+			line = append(line, more...)
+			continue
+		default:
+		}
+		break
+	}
+	_, _ = w.Write(line) // Nobody is left to tell of a log that can't be written.
+}
+
+// report tells of the dropped lines.
+func (r *Ring) report() {
+	report := r.onDrop.Load()
+	if report == nil {
+		return
+	}
+	if lines := r.dropped.Swap(0); lines > 0 {
+		(*report)(lines)
+	}
+}
+
+// finish writes what waits.
+func (r *Ring) finish(w io.Writer) {
+	for {
+		select {
+		case line := <-r.lines:
+			r.write(w, line)
+		default:
+			return
+		}
+	}
+}
+
+// Close writes what waits and stops.
+func (r *Ring) Close() error {
+	r.once.Do(func() { close(r.stop) })
+	r.done.Wait()
+	return nil
+}
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -40,7 +40,8 @@
 // Dialer keeps one connection to each control host. It is safe for concurrent
 // use.
 type Dialer struct {
-	hosts   map[string]Host
+	// lookup finds a host by its name.
+	lookup  func(name string) (Host, bool)
 	options []grpc.DialOption
 	// within and across count the traffic within the region and to others.
 	within, across Traffic
@@ -54,12 +55,25 @@
 // NewDialer returns a dialer for the hosts, by name. A nil tlsConfig means
 // plain TCP.
 func NewDialer(hosts map[string]Host, tlsConfig *tls.Config) *Dialer {
+	return newDialer(func(name string) (Host, bool) {
+		host, ok := hosts[name]
+		return host, ok
+	}, tlsConfig)
+}
+
+// NewAddressDialer returns a dialer for hosts whose names are their peer
+// addresses.
+func NewAddressDialer(tlsConfig *tls.Config) *Dialer {
+	return newDialer(func(name string) (Host, bool) { return Host{Address: name}, true }, tlsConfig)
+}
+
+func newDialer(lookup func(string) (Host, bool), tlsConfig *tls.Config) *Dialer {
 	creds := insecure.NewCredentials()
 	if tlsConfig != nil {
 		creds = credentials.NewTLS(tlsConfig)
 	}
 	return &Dialer{
-		hosts: hosts,
+		lookup: lookup,
 		options: []grpc.DialOption{
 			grpc.WithTransportCredentials(creds),
 			grpc.WithNoProxy(),
@@ -90,7 +104,7 @@
 	if conn, ok := d.conns[host]; ok {
 		return conn, nil
 	}
-	target, ok := d.hosts[host]
+	target, ok := d.lookup(host)
 	if !ok {
 		return nil, fmt.Errorf("connect to %s: not a control host", host)
 	}
--- a/internal/peer/quorum.go
+++ b/internal/peer/quorum.go
@@ -20,6 +20,9 @@
 	quorumPause = 50 * time.Millisecond
 )
 
+// expectedReplicas is a usual number of replicas.
+const expectedReplicas = 8
+
 // ErrNoQuorum says that no leader answered in time. A command may have been
 // committed or not.
 var ErrNoQuorum = errors.New("no quorum")
@@ -37,7 +40,8 @@
 	// local is this daemon's own replica, or nil.
 	local LocalReplica
 	self  string
-	hosts []string
+	// hosts returns the hosts that may have a replica.
+	hosts func() []string
 
 	mu sync.Mutex
 	// leader is the host that last answered as leader, or "".
@@ -47,6 +51,11 @@
 // NewQuorum returns a client for the replicas on the hosts. local serves self,
 // when self is among them.
 func NewQuorum(dialer *Dialer, self string, hosts []string, local LocalReplica) *Quorum {
+	return NewFoundQuorum(dialer, self, func() []string { return hosts }, local)
+}
+
+// NewFoundQuorum is NewQuorum for hosts that come and go.
+func NewFoundQuorum(dialer *Dialer, self string, hosts func() []string, local LocalReplica) *Quorum {
 	return &Quorum{dialer: dialer, local: local, self: self, hosts: hosts}
 }
 
@@ -145,14 +154,14 @@
 // order returns the hosts to try, the last known leader first, then this one.
 func (q *Quorum) order() []string {
 	leader := q.Leader()
-	order := make([]string, 0, len(q.hosts)+1)
+	order := make([]string, 0, expectedReplicas)
 	if leader != "" {
 		order = append(order, leader)
 	}
 	if q.local != nil && leader != q.self {
 		order = append(order, q.self)
 	}
-	for _, host := range q.hosts {
+	for _, host := range q.hosts() {
 		if host != leader && host != q.self {
 			order = append(order, host)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -61,6 +61,7 @@
 	Scheduling  SchedulerHost
 	State       LocalReplica
 	Replication ReplicationHost
+	Sync        SyncHost
 	// TLS is nil for plain TCP.
 	TLS *tls.Config
 }
@@ -86,7 +87,12 @@
 		options = append(options, grpc.Creds(credentials.NewTLS(cfg.TLS)))
 	}
 	s := &Server{server: grpc.NewServer(options...), ending: make(chan struct{})}
-	wire.RegisterMembershipServer(s.server, &membershipServer{handler: cfg.Probes})
+	if cfg.Probes != nil {
+		wire.RegisterMembershipServer(s.server, &membershipServer{handler: cfg.Probes})
+	}
+	if cfg.Sync != nil {
+		wire.RegisterSyncServer(s.server, &syncServer{host: cfg.Sync})
+	}
 	if cfg.Scheduling != nil {
 		wire.RegisterSchedulingServer(s.server, &schedulingServer{host: cfg.Scheduling, ending: s.ending})
 		wire.RegisterFleetServer(s.server, &fleetServer{host: cfg.Scheduling})
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -142,6 +142,20 @@
 	return p.config.BudgetBurst
 }
 
+// SetBudget changes how many retries each request earns, and how many can be
+// saved up.
+func (p *Policy) SetBudget(fraction, burst float64) {
+	p.config.BudgetFraction, p.config.BudgetBurst = fraction, burst
+	for account, budget := range p.budgets {
+		if budget >= burst {
+			delete(p.budgets, account)
+		}
+	}
+}
+
+// Spend charges one retry to the budget, and returns false when none is left.
+func (p *Policy) Spend(account string) bool { return p.charge(account) == "" }
+
 // Decide says what to do after a failed attempt. A retry that it allows is
 // charged to the account's budget, unless the attempt surely did not run: it
 // cost no endpoint anything.
--- /dev/null
+++ b/internal/settings/site.go
@@ -0,0 +1,209 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"oleanderramp/internal/strictjson"
+	"oleanderramp/pkg/finding"
+)
+
+// Site is the JSON form of the settings of a daemon whose site has no list of
+// its hosts: daemons find each other from seeds.
+type Site struct {
+	// Host names the daemon in logs.
+	Host   string `json:"host"`
+	Region string `json:"region"`
+	Zone   string `json:"zone"`
+	Zones  []Zone `json:"zones"`
+	Roles  []Role `json:"roles"`
+	// Address is the host's IP.
+	Address string `json:"address"`
+	// PeerPorts is the first and the last port that daemons may use among
+	// themselves, the same on all hosts.
+	PeerPorts []int      `json:"peer_ports"`
+	Listen    SiteListen `json:"listen"`
+	// Seeds are addresses of some control hosts, "IP:port" with any port.
+	Seeds []string `json:"seeds"`
+	// FirstStart is true only when the whole site starts for the first time.
+	FirstStart bool `json:"first_start"`
+	// ToleratedHosts is how many control hosts may be lost at once.
+	ToleratedHosts int `json:"tolerated_hosts"`
+	// DataFolder holds all durable files. Required for RoleReplica.
+	DataFolder string `json:"data_folder,omitempty"`
+	MemoryMB   int    `json:"memory_mb"`
+	// ShutdownS is how long a daemon may take to stop, in seconds.
+	ShutdownS float64 `json:"shutdown_s"`
+	// ShareWindowS is the window over which client accounts have their shares,
+	// in seconds.
+	ShareWindowS float64     `json:"share_window_s"`
+	Retries      SiteRetries `json:"retries"`
+	Log          Log         `json:"log"`
+}
+
+// Zone tells the region of an availability zone.
+type Zone struct {
+	Zone   string `json:"zone"`
+	Region string `json:"region"`
+}
+
+// SiteListen holds the addresses to listen on, each "IP:port"; empty for none.
+type SiteListen struct {
+	Callers   string `json:"callers,omitempty"`
+	Readiness string `json:"readiness,omitempty"`
+	Control   string `json:"control,omitempty"`
+	Metrics   string `json:"metrics,omitempty"`
+}
+
+// SiteRetries bounds the further attempts of all routers together.
+type SiteRetries struct {
+	// Ratio is how many further attempts each request allows its service.
+	Ratio float64 `json:"ratio"`
+	// Slack is how many more are allowed within the window.
+	Slack float64 `json:"slack"`
+	// WindowS is the window in seconds.
+	WindowS float64 `json:"window_s"`
+}
+
+// Defaults fills the fields that are unset.
+func (s *Site) Defaults() {
+	setDefault(&s.ShutdownS, 10)
+	setDefault(&s.ShareWindowS, 4)
+	setDefault(&s.Retries.Ratio, 0.2)
+	setDefault(&s.Retries.Slack, 50)
+	setDefault(&s.Retries.WindowS, 10)
+	setDefault(&s.Log.Level, "info")
+	setDefault(&s.Log.Format, "json")
+}
+
+// HasRole tells whether the daemon has the role.
+func (s *Site) HasRole(role Role) bool {
+	for _, r := range s.Roles {
+		if r == role {
+			return true
+		}
+	}
+	return false
+}
+
+// RegionOf returns the region of an availability zone; empty when it is
+// unknown.
+func (s *Site) RegionOf(zone string) string {
+	for _, z := range s.Zones {
+		if z.Zone == zone {
+			return z.Region
+		}
+	}
+	return ""
+}
+
+// PeerAddress returns the address at which other daemons reach this one.
+func (s *Site) PeerAddress() string { return peerAddress(s.Address, s.PeerPorts[0]) }
+
+// SeedAddresses returns the peer addresses of the seeds.
+func (s *Site) SeedAddresses() []string {
+	var seeds []string
+	for _, seed := range s.Seeds {
+		address, err := netip.ParseAddrPort(seed)
+		if err == nil {
+			seeds = append(seeds, peerAddress(address.Addr().String(), s.PeerPorts[0]))
+		}
+	}
+	return seeds
+}
+
+func peerAddress(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+
+// ShareWindow returns ShareWindowS as a duration.
+func (s *Site) ShareWindow() time.Duration { return seconds(s.ShareWindowS) }
+
+// ShutdownTimeout returns ShutdownS as a duration.
+func (s *Site) ShutdownTimeout() time.Duration { return seconds(s.ShutdownS) }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Validate adds a finding for each problem of the settings.
+func (s *Site) Validate(list *finding.List) {
+	list.CheckName("host", s.Host)
+	list.CheckName("region", s.Region)
+	list.CheckName("zone", s.Zone)
+	s.validateRoles(list)
+	s.validateAddresses(list)
+	s.validateFigures(list)
+	s.Log.Validate(list)
+}
+
+func (s *Site) validateRoles(list *finding.List) {
+	if len(s.Roles) == 0 {
+		list.Addf("roles", "is empty")
+	}
+	for i, role := range s.Roles {
+		if role != RoleRouter && role != RoleReplica {
+			list.Addf(fmt.Sprintf("roles[%d]", i), "must be %q or %q", RoleRouter, RoleReplica)
+		}
+	}
+	if s.HasRole(RoleReplica) && s.DataFolder == "" {
+		list.Addf("data_folder", "is required for the role %q", RoleReplica)
+	}
+	if s.HasRole(RoleReplica) && s.Listen.Control == "" {
+		list.Addf("listen.control", "is required for the role %q", RoleReplica)
+	}
+	if s.HasRole(RoleRouter) && s.Listen.Callers == "" {
+		list.Addf("listen.callers", "is required for the role %q", RoleRouter)
+	}
+}
+
+func (s *Site) validateAddresses(list *finding.List) {
+	if _, err := netip.ParseAddr(s.Address); err != nil {
+		list.Addf("address", "%q is no IP address", s.Address)
+	}
+	if len(s.PeerPorts) == 0 || s.PeerPorts[0] < 1 || s.PeerPorts[0] > maxPort {
+		list.Addf("peer_ports", "must begin with a port from 1 to %d", maxPort)
+	}
+	for i, seed := range s.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			list.Addf(fmt.Sprintf("seeds[%d]", i), "%q is no \"IP:port\"", seed)
+		}
+	}
+}
+
+const maxPort = 65535
+
+func (s *Site) validateFigures(list *finding.List) {
+	if s.ToleratedHosts < 0 {
+		list.Addf("tolerated_hosts", "must not be negative")
+	}
+	if s.MemoryMB < 0 {
+		list.Addf("memory_mb", "must not be negative")
+	}
+	if s.ShutdownS <= 0 {
+		list.Addf("shutdown_s", "must be more than 0")
+	}
+	if s.ShareWindowS <= 0 {
+		list.Addf("share_window_s", "must be more than 0")
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.WindowS <= 0 {
+		list.Addf("retries", "must not be negative, and the window more than 0")
+	}
+}
+
+// ParseSite decodes and checks the JSON form of a site daemon's settings and
+// fills in the defaults. The error is a *finding.Error with all problems
+// found.
+func ParseSite(data []byte) (*Site, error) {
+	var site Site
+	var list finding.List
+	strictjson.Decode(data, &site, maxSettingsBytes, &list)
+	if list.Len() > 0 && site.Host == "" && site.Roles == nil {
+		return nil, list.Err()
+	}
+	site.Defaults()
+	var invalid finding.List
+	site.Validate(&invalid)
+	list.AppendNew(&invalid)
+	if err := list.Err(); err != nil {
+		return nil, err
+	}
+	return &site, nil
+}
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,160 @@
+// Package share says which requests are within their client account's share
+// of the fleet's capacity: accounts that ask for more than an even share all
+// have the same, and those that ask for less have what they ask for.
+//
+// It is a pure state machine: the present time is an argument.
+package share
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// buckets is into how many parts the window is cut.
+const buckets = 8
+
+// Use is what an account asked for and got within the window, in tokens.
+type Use struct {
+	Account  string
+	Asked    float64
+	Admitted float64
+}
+
+// Ledger counts what the accounts ask for and get, at this router and at the
+// others. It is not safe for concurrent use.
+type Ledger struct {
+	window time.Duration
+	own    map[string]*history
+	others map[string]Use
+}
+
+// history holds the use of one account, a bucket for each part of the window.
+type history struct {
+	asked, admitted [buckets]float64
+	// last is the number of the newest bucket, counted from the zero time.
+	last int64
+}
+
+// New returns an empty ledger with a sliding window.
+func New(window time.Duration) *Ledger {
+	return &Ledger{window: window, own: make(map[string]*history), others: make(map[string]Use)}
+}
+
+func (l *Ledger) bucket(now time.Time) int64 {
+	return now.UnixNano() / int64(l.window/buckets)
+}
+
+// advance empties the buckets that have left the window.
+func (h *history) advance(bucket int64) {
+	if bucket-h.last >= buckets {
+		*h = history{last: bucket}
+		return
+	}
+	for h.last < bucket {
+		h.last++
+		h.asked[h.last%buckets], h.admitted[h.last%buckets] = 0, 0
+	}
+}
+
+func (l *Ledger) history(now time.Time, account string) *history {
+	h, ok := l.own[account]
+	if !ok {
+		h = &history{last: l.bucket(now)}
+		l.own[account] = h
+	}
+	h.advance(l.bucket(now))
+	return h
+}
+
+// Ask counts tokens that the account asks for.
+func (l *Ledger) Ask(now time.Time, account string, tokens float64) {
+	h := l.history(now, account)
+	h.asked[h.last%buckets] += tokens
+}
+
+// Admit counts tokens that the account gets.
+func (l *Ledger) Admit(now time.Time, account string, tokens float64) {
+	h := l.history(now, account)
+	h.admitted[h.last%buckets] += tokens
+}
+
+// Own returns the use at this router, by account, without accounts that used
+// nothing.
+func (l *Ledger) Own(now time.Time) []Use {
+	var uses []Use
+	for account := range l.own {
+		h := l.history(now, account)
+		u := Use{Account: account, Asked: sum(h.asked), Admitted: sum(h.admitted)}
+		if u.Asked == 0 && u.Admitted == 0 {
+			delete(l.own, account)
+			continue
+		}
+		uses = append(uses, u)
+	}
+	slices.SortFunc(uses, func(a, b Use) int { return cmp.Compare(a.Account, b.Account) })
+	return uses
+}
+
+func sum(values [buckets]float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+// SetOthers replaces the use at all other routers.
+func (l *Ledger) SetOthers(uses []Use) {
+	clear(l.others)
+	for _, u := range uses {
+		l.others[u.Account] = u
+	}
+}
+
+// Share is an account's part of the capacity within the window, in tokens.
+type Share struct {
+	// Level is what an account gets that asks for more than an even share.
+	Level float64
+	Use
+}
+
+// Within tells whether the account may have so many tokens more.
+func (s Share) Within(tokens float64) bool {
+	return s.Asked <= s.Level || s.Admitted+tokens <= s.Level
+}
+
+// Share returns the account's share when all engines process so many tokens
+// within the window.
+func (l *Ledger) Share(now time.Time, account string, capacity float64) Share {
+	total := make(map[string]Use, len(l.others)+len(l.own))
+	for name, u := range l.others {
+		total[name] = u
+	}
+	for _, u := range l.Own(now) {
+		other := total[u.Account]
+		total[u.Account] = Use{Account: u.Account, Asked: u.Asked + other.Asked, Admitted: u.Admitted + other.Admitted}
+	}
+	asked := make([]float64, 0, len(total))
+	for _, u := range total {
+		asked = append(asked, u.Asked)
+	}
+	return Share{Level: level(asked, capacity), Use: total[account]}
+}
+
+// level returns the amount up to which each demand is met when the capacity is
+// shared out such that the smallest allotment is as large as possible.
+func level(asked []float64, capacity float64) float64 {
+	slices.Sort(asked)
+	for i, a := range asked {
+		even := capacity / float64(len(asked)-i)
+		if a >= even {
+			return even
+		}
+		capacity -= a
+	}
+	if len(asked) == 0 {
+		return capacity
+	}
+	return asked[len(asked)-1] + capacity
+}
--- /dev/null
+++ b/internal/site/convert.go
@@ -0,0 +1,134 @@
+package site
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+	"time"
+
+	"oleanderramp/internal/balance"
+	"oleanderramp/internal/directory"
+	"oleanderramp/internal/discovery"
+	"oleanderramp/internal/share"
+	"oleanderramp/internal/wire"
+)
+
+// maxDocumentBytes bounds a routing table.
+const maxDocumentBytes = 16 << 20
+
+// compress returns the document in the form in which it is kept and sent.
+func compress(document []byte) []byte {
+	var out bytes.Buffer
+	w, _ := flate.NewWriter(&out, flate.BestCompression) // The level is valid.
+	_, _ = w.Write(document)                             // A buffer takes all bytes.
+	_ = w.Close()                                        // As above.
+	return out.Bytes()
+}
+
+// decompress undoes compress.
+func decompress(data []byte) ([]byte, error) {
+	document, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDocumentBytes))
+	if err != nil {
+		return nil, fmt.Errorf("decompress routing table: %w", err)
+	}
+	return document, nil
+}
+
+// milliseconds returns an age as it is sent.
+func milliseconds(d time.Duration) uint32 { return uint32(max(d.Milliseconds(), 0)) }
+
+func hostToWire(h discovery.Host) *wire.ControlHost {
+	return &wire.ControlHost{
+		Address: h.Address, Incarnation: h.Incarnation, Region: h.Region, Zone: h.Zone, Replica: h.Replica, Draining: h.Draining,
+	}
+}
+
+func hostFromWire(h *wire.ControlHost) discovery.Host {
+	return discovery.Host{
+		Address: h.GetAddress(), Incarnation: h.GetIncarnation(), Region: h.GetRegion(), Zone: h.GetZone(),
+		Replica: h.GetReplica(), Draining: h.GetDraining(),
+	}
+}
+
+func hostsToWire(hosts []discovery.Host) []*wire.ControlHost {
+	list := make([]*wire.ControlHost, len(hosts))
+	for i, h := range hosts {
+		list[i] = hostToWire(h)
+	}
+	return list
+}
+
+func entriesToWire(now time.Time, entries []directory.Entry) []*wire.EndpointEntry {
+	list := make([]*wire.EndpointEntry, len(entries))
+	for i, e := range entries {
+		list[i] = &wire.EndpointEntry{
+			Id: e.ID, Service: e.Service, Address: e.Address, Zone: e.Zone, Region: e.Region, Sequence: e.Sequence,
+			Slots: uint32(e.Slots), Leaving: e.Leaving, HeardMsAgo: milliseconds(now.Sub(e.Heard)),
+		}
+		if !e.Born.IsZero() {
+			list[i].BornMs = e.Born.UnixMilli()
+		}
+	}
+	return list
+}
+
+func entryFromWire(now time.Time, e *wire.EndpointEntry) directory.Entry {
+	entry := directory.Entry{
+		ID: e.GetId(), Service: e.GetService(), Address: e.GetAddress(), Zone: e.GetZone(), Region: e.GetRegion(),
+		Sequence: e.GetSequence(), Slots: int(e.GetSlots()), Leaving: e.GetLeaving(),
+		Heard: now.Add(-time.Duration(e.GetHeardMsAgo()) * time.Millisecond),
+	}
+	if e.GetBornMs() != 0 {
+		entry.Born = time.UnixMilli(e.GetBornMs())
+	}
+	return entry
+}
+
+func reportToWire(loads map[string]balance.Load, uses []share.Use, routers int) *wire.LoadReport {
+	report := &wire.LoadReport{Routers: uint32(routers)}
+	for id, l := range loads {
+		report.Endpoints = append(report.Endpoints, &wire.EndpointLoad{
+			Id: id, Running: uint32(l.Running), PrefillTokens: uint64(l.Prefill), MemoryTokens: uint64(l.Memory),
+		})
+	}
+	for _, u := range uses {
+		report.Accounts = append(report.Accounts, &wire.AccountLoad{Account: u.Account, Asked: uint64(u.Asked), Admitted: uint64(u.Admitted)})
+	}
+	return report
+}
+
+func reportFromWire(report *wire.LoadReport) (map[string]balance.Load, []share.Use) {
+	loads := make(map[string]balance.Load, len(report.GetEndpoints()))
+	for _, l := range report.GetEndpoints() {
+		loads[l.GetId()] = balance.Load{Running: int(l.GetRunning()), Prefill: int(l.GetPrefillTokens()), Memory: int(l.GetMemoryTokens())}
+	}
+	uses := make([]share.Use, len(report.GetAccounts()))
+	for i, u := range report.GetAccounts() {
+		uses[i] = share.Use{Account: u.GetAccount(), Asked: float64(u.GetAsked()), Admitted: float64(u.GetAdmitted())}
+	}
+	return loads, uses
+}
+
+// sumReports adds the work of several routers.
+func sumReports(reports []*wire.LoadReport) *wire.LoadReport {
+	loads := make(map[string]balance.Load)
+	uses := make(map[string]share.Use)
+	routers := 0
+	for _, report := range reports {
+		routers += int(report.GetRouters())
+		more, used := reportFromWire(report)
+		for id, l := range more {
+			loads[id] = loads[id].Plus(l)
+		}
+		for _, u := range used {
+			sum := uses[u.Account]
+			uses[u.Account] = share.Use{Account: u.Account, Asked: sum.Asked + u.Asked, Admitted: sum.Admitted + u.Admitted}
+		}
+	}
+	list := make([]share.Use, 0, len(uses))
+	for _, u := range uses {
+		list = append(list, u)
+	}
+	return reportToWire(loads, list, routers)
+}
--- /dev/null
+++ b/internal/site/router.go
@@ -0,0 +1,335 @@
+package site
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"oleanderramp/internal/directory"
+	"oleanderramp/internal/discovery"
+	"oleanderramp/internal/edge"
+	"oleanderramp/internal/endpoint"
+	"oleanderramp/internal/event"
+	"oleanderramp/internal/peer"
+	"oleanderramp/internal/settings"
+	"oleanderramp/internal/telemetry"
+	"oleanderramp/internal/wire"
+	"oleanderramp/pkg/routing"
+)
+
+const (
+	// primaryPeriod is the time between two calls to the control host that a
+	// router reports its load to.
+	primaryPeriod = 100 * time.Millisecond
+	// othersPeriod is the time between two calls to the others, by turns.
+	othersPeriod = 250 * time.Millisecond
+	// exchangeTimeout bounds one call.
+	exchangeTimeout = 600 * time.Millisecond
+	// budgetPart is the part of the fleet's retry budget that is used: windows
+	// slide, and routers come and go.
+	budgetPart = 0.5
+	// endpointDialTimeout bounds a new connection to an endpoint.
+	endpointDialTimeout = 500 * time.Millisecond
+	// endpointIdle is how long an unused connection to an endpoint is kept.
+	endpointIdle = 4 * time.Second
+	// endpointKeepAlive is how long a connection to an endpoint is silent
+	// before it is probed.
+	endpointKeepAlive = time.Second
+	// maxAnswerBytes bounds an endpoint's answer.
+	maxAnswerBytes = 64 << 20
+)
+
+// router is what a daemon with the role router runs.
+type router struct {
+	settings  *settings.Site
+	adapter   Adapter
+	log       log.Interface
+	self      *wire.Process
+	dialer    *peer.Dialer
+	gate      *edge.Gate
+	client    *endpoint.Client
+	forwarder *edge.Forwarder
+	draining  atomic.Bool
+	table     atomic.Pointer[routing.Table]
+	stop      context.CancelFunc
+	done      sync.WaitGroup
+
+	// mu guards what follows.
+	mu        sync.Mutex
+	hosts     *discovery.Table
+	directory *directory.Directory
+	// marks says up to where this router holds each control host's directory.
+	marks map[string]mark
+	// primary is the control host that gets this router's load.
+	primary string
+	// routers is how many routers there are besides this one.
+	routers int
+}
+
+// mark is a place in a control host's directory.
+type mark struct {
+	epoch, revision uint64
+}
+
+func newRouter(d *Daemon) *router {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &router{
+		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, dialer: d.dialer, stop: cancel,
+		gate:  edge.NewGate(d.settings.Region, d.settings.ShareWindow()),
+		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
+		marks: make(map[string]mark),
+		client: endpoint.NewClient(endpoint.ClientConfig{
+			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdle, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
+		}),
+	}
+	r.forwarder = edge.New(edge.Config{
+		Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
+		Metrics: telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
+	})
+	r.setBudget()
+	telemetry.Gauge(d.registry, "oleanderramp_routing_version", "Version of the routing table in force; 0 for none.", func() float64 {
+		if table := r.Table(); table != nil {
+			return float64(table.Version())
+		}
+		return 0
+	})
+	r.done.Go(func() { r.every(ctx, primaryPeriod, r.syncPrimary) })
+	r.done.Go(func() { r.every(ctx, othersPeriod, r.syncNext()) })
+	return r
+}
+
+// every calls work in a fixed period until the context ends.
+func (r *router) every(ctx context.Context, period time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Table returns the routing table in force, or nil.
+func (r *router) Table() *routing.Table { return r.table.Load() }
+
+// ready returns an empty string, or the reason why this router takes no
+// requests.
+func (r *router) ready() string {
+	switch {
+	case r.draining.Load():
+		return "the daemon is shutting down"
+	case r.Table() == nil:
+		return "no routing table is known yet"
+	default:
+		return ""
+	}
+}
+
+func (r *router) drain() {
+	r.draining.Store(true)
+	r.forwarder.Drain()
+}
+
+func (r *router) setSeeds(seeds []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hosts.SetSeeds(seeds)
+}
+
+// syncPrimary calls the control host that gets this router's load.
+func (r *router) syncPrimary(ctx context.Context) {
+	if host := r.choosePrimary(time.Now()); host != "" {
+		r.exchange(ctx, host, true)
+	}
+}
+
+// choosePrimary keeps the primary while it is alive, and else takes a near one.
+func (r *router) choosePrimary(now time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	alive := slices.DeleteFunc(r.hosts.Alive(now), func(h discovery.Host) bool { return h.Draining })
+	if slices.ContainsFunc(alive, func(h discovery.Host) bool { return h.Address == r.primary }) {
+		return r.primary
+	}
+	before := r.primary
+	r.primary = nearest(alive, r.settings, r.self.GetIncarnation())
+	if r.primary != before {
+		event.PrimaryChanged.Log(r.log, event.Fields{"before": before, "peer": r.primary, "alive": len(alive)})
+	}
+	return r.primary
+}
+
+// nearest returns a host of the same zone, else of the same region, else any;
+// spread tells routers apart.
+func nearest(alive []discovery.Host, s *settings.Site, spread uint64) string {
+	filters := []func(discovery.Host) bool{
+		func(h discovery.Host) bool { return h.Zone == s.Zone },
+		func(h discovery.Host) bool { return h.Region == s.Region },
+		func(discovery.Host) bool { return true },
+	}
+	for _, near := range filters {
+		hosts := slices.DeleteFunc(slices.Clone(alive), func(h discovery.Host) bool { return !near(h) })
+		if len(hosts) > 0 {
+			return hosts[spread%uint64(len(hosts))].Address
+		}
+	}
+	return ""
+}
+
+// syncNext returns a function that calls the known control hosts by turns.
+func (r *router) syncNext() func(context.Context) {
+	turn := 0
+	return func(ctx context.Context) {
+		r.mu.Lock()
+		targets := slices.DeleteFunc(r.hosts.Targets(time.Now()), func(address string) bool { return address == r.primary })
+		r.mu.Unlock()
+		if len(targets) == 0 {
+			return
+		}
+		turn++
+		r.exchange(ctx, targets[turn%len(targets)], false)
+	}
+}
+
+// exchange calls one control host and takes in what it knows.
+func (r *router) exchange(ctx context.Context, host string, primary bool) {
+	request := &wire.SyncRequest{Sender: r.self}
+	if primary {
+		loads, uses := r.gate.Own(time.Now())
+		request.Load = reportToWire(loads, uses, 1)
+	}
+	if table := r.Table(); table != nil {
+		request.RoutingVersion = table.Version()
+	}
+	r.mu.Lock()
+	at := r.marks[host]
+	r.mu.Unlock()
+	request.DirectoryEpoch, request.DirectoryRevision = at.epoch, at.revision
+	response, err := peer.Exchange(ctx, r.dialer, host, exchangeTimeout, request)
+	if err != nil {
+		r.lost(ctx, host, err)
+		return
+	}
+	r.take(time.Now(), host, response, primary)
+}
+
+// lost records that a control host did not answer.
+func (r *router) lost(ctx context.Context, host string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if silence, heard := r.hosts.Silence(time.Now(), host); heard && r.primary == host {
+		event.PeerDown.Log(r.log, event.Fields{"peer": host, "error": err.Error(), "silence_ms": silence.Milliseconds()})
+		r.primary = ""
+	}
+}
+
+// take takes in a control host's answer.
+func (r *router) take(now time.Time, host string, response *wire.SyncResponse, primary bool) {
+	r.mu.Lock()
+	if r.hosts.Heard(now, hostFromWire(response.GetResponder())) {
+		event.PeerUp.Log(r.log, event.Fields{"peer": host, "incarnation": response.GetResponder().GetIncarnation()})
+	}
+	for _, h := range response.GetHosts() {
+		r.hosts.Mentioned(now, hostFromWire(h))
+	}
+	changed := false
+	for _, e := range response.GetEndpoints() {
+		entry := entryFromWire(now, e)
+		change := r.directory.Merge(entry)
+		logChange(r.log, change, entry, host)
+		changed = changed || change != directory.Stale
+	}
+	r.directory.Forget(now)
+	r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision()}
+	usable := r.directory.Usable()
+	if primary {
+		r.routers = int(response.GetLoad().GetRouters())
+	}
+	r.mu.Unlock()
+
+	newTable := r.adopt(response, host)
+	if table := r.Table(); table != nil && (changed || newTable) {
+		r.gate.Update(now, usable, table, r.settings.ShareWindow())
+	}
+	if primary {
+		loads, uses := reportFromWire(response.GetLoad())
+		r.gate.SetOthers(now, loads, uses)
+		r.setBudget()
+	}
+}
+
+// setBudget takes this router's part of the fleet's retry budget.
+func (r *router) setBudget() {
+	r.mu.Lock()
+	routers := r.routers + 1
+	r.mu.Unlock()
+	retries := r.settings.Retries
+	r.forwarder.SetRetryBudget(retries.Ratio*budgetPart, retries.Slack*budgetPart/float64(routers))
+}
+
+// adopt puts a newer routing table in force. A router takes its first one only
+// from a control host that hears from a leader, and never goes back.
+func (r *router) adopt(response *wire.SyncResponse, host string) bool {
+	current := r.Table()
+	if len(response.GetRoutingDocument()) == 0 || current == nil && !response.GetHasLeader() {
+		return false
+	}
+	if current != nil && response.GetRoutingVersion() <= current.Version() {
+		return false
+	}
+	document, err := decompress(response.GetRoutingDocument())
+	var table *routing.Table
+	if err == nil {
+		table, err = r.adapter.Routing(document)
+	}
+	if err != nil {
+		event.RoutingUnreadable.Log(r.log, event.Fields{"version": response.GetRoutingVersion(), "peer": host, "error": err.Error()})
+		return false
+	}
+	for {
+		if current != nil && table.Version() <= current.Version() {
+			return false
+		}
+		if r.table.CompareAndSwap(current, table) {
+			break
+		}
+		current = r.table.Load()
+	}
+	before := uint64(0)
+	if current != nil {
+		before = current.Version()
+	}
+	event.RoutingInForce.Log(r.log, event.Fields{"version": table.Version(), "before": before, "routes": table.Len(), "peer": host})
+	return true
+}
+
+// logChange logs what became of an endpoint.
+func logChange(l log.Interface, change directory.Change, e directory.Entry, source string) {
+	fields := event.Fields{
+		"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "sequence": e.Sequence, "source": source,
+	}
+	switch change {
+	case directory.Joined:
+		event.EndpointAnnounced.Log(l, fields)
+	case directory.Left:
+		event.EndpointLeft.Log(l, fields)
+	}
+}
+
+// Close ends the calls to the control hosts and to the endpoints.
+func (r *router) Close() error {
+	r.stop()
+	r.done.Wait()
+	r.client.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,237 @@
+// Package site runs the daemons of a site whose hosts are on no list: routers
+// and control hosts that find each other from seeds.
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"oleanderramp/internal/directory"
+	"oleanderramp/internal/edge"
+	"oleanderramp/internal/endpoint"
+	"oleanderramp/internal/event"
+	"oleanderramp/internal/peer"
+	"oleanderramp/internal/settings"
+	"oleanderramp/internal/telemetry"
+	"oleanderramp/internal/wire"
+	"oleanderramp/pkg/routing"
+)
+
+// Adapter translates what callers, endpoints, operators and the balancer in
+// front of a site speak.
+type Adapter interface {
+	edge.Codec
+	// Routing reads a routing table as operators send it. The error lists all
+	// that is wrong with it.
+	Routing(document []byte) (*routing.Table, error)
+	// Control returns the handler for the calls of endpoints and operators.
+	Control(control Control, l log.Interface) http.Handler
+	// Readiness returns the handler that tells whether the daemon takes
+	// requests.
+	Readiness(readiness telemetry.Readiness) http.Handler
+	// Headers names the headers of calls to endpoints.
+	Headers() endpoint.Headers
+}
+
+// ErrUnconfirmed says that a majority of the control hosts did not answer in
+// time. An order may have been taken or not.
+var ErrUnconfirmed = errors.New("the quorum did not confirm in time")
+
+// Control is what endpoints and operators ask of a control host.
+type Control interface {
+	// Announce takes what an endpoint says of itself. Its region follows from
+	// its zone.
+	Announce(now time.Time, entry directory.Entry) directory.Change
+	// Leave takes that an endpoint leaves; born may be zero.
+	Leave(now time.Time, id string, born time.Time) directory.Change
+	// Replace puts a valid routing table in force, and returns once that would
+	// survive the tolerated losses. The error may wrap ErrUnconfirmed.
+	Replace(ctx context.Context, version uint64, document []byte) error
+	// Routing returns the table in force as it was sent. The error may wrap
+	// ErrUnconfirmed.
+	Routing(ctx context.Context) ([]byte, error)
+}
+
+// Daemon is a running daemon of a site.
+type Daemon struct {
+	settings *settings.Site
+	adapter  Adapter
+	log      log.Interface
+	self     *wire.Process
+	registry *prometheus.Registry
+	dialer   *peer.Dialer
+	control  *control
+	router   *router
+	peers    *peer.Server
+	servers  []*server
+}
+
+// New starts a daemon with the roles of its settings. On an error nothing is
+// left running.
+func New(s *settings.Site, adapter Adapter, l log.Interface) (*Daemon, error) {
+	d := &Daemon{
+		settings: s, adapter: adapter, log: l,
+		self:     &wire.Process{Host: s.PeerAddress(), Incarnation: newIncarnation(time.Now(), s.PeerAddress())},
+		registry: telemetry.NewRegistry(), dialer: peer.NewAddressDialer(nil),
+	}
+	telemetry.ControlTraffic(d.registry, "site", d.dialer.Within())
+	if err := d.start(); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	event.DaemonStarted.Log(l, event.Fields{
+		"host": s.Host, "address": s.PeerAddress(), "region": s.Region, "zone": s.Zone, "roles": s.Roles,
+		"incarnation": d.self.GetIncarnation(), "seeds": s.SeedAddresses(), "first_start": s.FirstStart,
+	})
+	return d, nil
+}
+
+// hostBits is the number of an incarnation's lowest bits that tell hosts
+// apart which start in the same millisecond.
+const hostBits = 12
+
+// newIncarnation returns a number that tells the starts of a host apart.
+func newIncarnation(now time.Time, host string) uint64 {
+	return uint64(now.UnixMilli())<<hostBits | xxhash.Sum64String(host)%(1<<hostBits)
+}
+
+func (d *Daemon) start() error {
+	listen := d.settings.Listen
+	if d.settings.HasRole(settings.RoleReplica) {
+		var err error
+		if d.control, err = newControl(d); err != nil {
+			return err
+		}
+		listener, err := net.Listen("tcp", d.settings.PeerAddress())
+		if err != nil {
+			return fmt.Errorf("listen for peers: %w", err)
+		}
+		d.peers = peer.NewServer(listener, peer.ServerConfig{State: d.control.host, Replication: d.control.replica, Sync: d.control})
+		if err := d.serve("control", listen.Control, d.adapter.Control(d.control, d.log)); err != nil {
+			return err
+		}
+	}
+	if d.settings.HasRole(settings.RoleRouter) {
+		d.router = newRouter(d)
+		if err := d.serve("callers", listen.Callers, d.router.forwarder); err != nil {
+			return err
+		}
+	}
+	if err := d.serve("readiness", listen.Readiness, d.adapter.Readiness(d)); err != nil {
+		return err
+	}
+	return d.serve("metrics", listen.Metrics, promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+}
+
+// serve opens a listener, unless the address is empty.
+func (d *Daemon) serve(name, address string, handler http.Handler) error {
+	if address == "" {
+		return nil
+	}
+	s, err := newServer(address, handler)
+	if err != nil {
+		return fmt.Errorf("listen for %s: %w", name, err)
+	}
+	d.servers = append(d.servers, s)
+	event.ListenerOpened.Log(d.log, event.Fields{"listener": name, "address": address})
+	return nil
+}
+
+// Ready returns an empty string, or the reason why the daemon takes no
+// requests.
+func (d *Daemon) Ready() string {
+	if d.router == nil {
+		return ""
+	}
+	return d.router.ready()
+}
+
+// Failed delivers the error of a part without which the daemon can't go on.
+func (d *Daemon) Failed() <-chan error {
+	if d.control == nil {
+		return nil
+	}
+	return d.control.failed
+}
+
+// SetSeeds replaces the seeds after a change of the settings.
+func (d *Daemon) SetSeeds(seeds []string) {
+	event.SettingsReloaded.Log(d.log, event.Fields{"host": d.settings.Host, "seeds": seeds})
+	if d.control != nil {
+		d.control.setSeeds(seeds)
+	}
+	if d.router != nil {
+		d.router.setSeeds(seeds)
+	}
+}
+
+const (
+	// notReadyFor is how long a daemon that stops still takes connections: the
+	// balancer learns only by and by that it is not ready.
+	notReadyFor = 2500 * time.Millisecond
+	// drainPoll is the time between two looks at the requests under way.
+	drainPoll = 20 * time.Millisecond
+	// closeReserve is what is kept of the time to stop for closing.
+	closeReserve = 700 * time.Millisecond
+)
+
+// Drain lets the requests under way end, until the context or the time to stop
+// ends. It returns how many are cut.
+func (d *Daemon) Drain(ctx context.Context) int {
+	event.DaemonDraining.Log(d.log, event.Fields{"host": d.settings.Host})
+	if d.control != nil {
+		d.control.drain()
+	}
+	if d.router == nil {
+		return 0
+	}
+	d.router.drain()
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, d.settings.ShutdownTimeout()-closeReserve)
+	defer cancel()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			cut := d.router.forwarder.Active()
+			if cut > 0 {
+				event.RequestsCut.Log(d.log, event.Fields{"host": d.settings.Host, "requests": cut})
+			}
+			return cut
+		case now := <-ticker.C:
+			if now.Sub(start) >= notReadyFor && d.router.forwarder.Active() == 0 {
+				return 0
+			}
+		}
+	}
+}
+
+// Close stops the daemon and waits for it.
+func (d *Daemon) Close() error {
+	var errs []error
+	for _, s := range d.servers {
+		errs = append(errs, s.close())
+	}
+	if d.router != nil {
+		errs = append(errs, d.router.Close())
+	}
+	if d.control != nil {
+		errs = append(errs, d.control.Close())
+	}
+	if d.peers != nil {
+		errs = append(errs, d.peers.Close())
+	}
+	errs = append(errs, d.dialer.Close())
+	err := errors.Join(errs...)
+	event.DaemonStopped.Log(d.log, event.Fields{"host": d.settings.Host})
+	return err
+}
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -33,6 +33,7 @@
 	suspects   *quarantineTable
 	drains     *drainTable
 	audit      *auditTrail
+	routing    routingRegister
 }
 
 // New returns an empty machine. All replicas must use the same limits.
@@ -91,6 +92,8 @@
 		return m.quarantineDigest(body.Quarantine)
 	case *wire.Command_Suspect:
 		return m.suspectDigests(body.Suspect)
+	case *wire.Command_ReplaceRouting:
+		return m.replaceRouting(body.ReplaceRouting)
 	default:
 		return m.executeOperator(command)
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -37,6 +37,7 @@
 		Audit:        m.audit.entries,
 		AuditDropped: m.audit.dropped,
 		ClockMs:      m.clock.nowMS,
+		Routing:      m.Routing(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -102,6 +103,7 @@
 	}
 	m.audit.entries = snapshot.GetAudit()
 	m.audit.dropped = snapshot.GetAuditDropped()
+	m.routing = routingRegister{version: snapshot.GetRouting().GetVersion(), document: snapshot.GetRouting().GetDocument()}
 }
 
 func (r *bundleRegister) restore(snapshot *wire.Snapshot) error {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -150,3 +150,10 @@
 	defer s.mu.RUnlock()
 	return s.machine.Processes()
 }
+
+// Routing is Machine.Routing.
+func (s *Store) Routing() *wire.RoutingState {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Routing()
+}
--- /dev/null
+++ b/internal/statehost/statehost.go
@@ -0,0 +1,107 @@
+// Package statehost serves commands and queries on the replicated state of a
+// daemon's replica.
+package statehost
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"oleanderramp/internal/replica"
+	"oleanderramp/internal/state"
+	"oleanderramp/internal/wire"
+)
+
+// Host is a replica with its state.
+type Host struct {
+	replica *replica.Replica
+	store   *state.Store
+}
+
+// New returns a host for the replica that applies its log to the store.
+func New(r *replica.Replica, store *state.Store) *Host {
+	return &Host{replica: r, store: store}
+}
+
+// Replica returns the replica.
+func (h *Host) Replica() *replica.Replica { return h.replica }
+
+// Store returns the replicated state.
+func (h *Host) Store() *state.Store { return h.store }
+
+// Execute commits the command if this replica leads.
+func (h *Host) Execute(ctx context.Context, request *wire.ExecuteRequest) (*wire.ExecuteResponse, error) {
+	command := proto.CloneOf(request.GetCommand())
+	command.NowUnixMs = time.Now().UnixMilli()
+	data, err := proto.Marshal(command)
+	if err != nil {
+		return nil, status.Errorf(codes.InvalidArgument, "encode command: %v", err)
+	}
+	answer, err := h.replica.Propose(ctx, data)
+	if notLeader := NotLeader(err); notLeader != nil {
+		return &wire.ExecuteResponse{NotLeader: notLeader}, nil
+	}
+	if err != nil {
+		return nil, status.Errorf(codes.Unavailable, "commit command: %v", err)
+	}
+	result := &wire.Result{}
+	if err := proto.Unmarshal(answer, result); err != nil {
+		return nil, status.Errorf(codes.Internal, "decode result: %v", err)
+	}
+	return &wire.ExecuteResponse{Result: result}, nil
+}
+
+// NotLeader returns the leader that the error names, or nil for any other
+// error.
+func NotLeader(err error) *wire.NotLeader {
+	var refused *replica.NotLeaderError
+	if !errors.As(err, &refused) {
+		return nil
+	}
+	return &wire.NotLeader{Leader: refused.Leader()}
+}
+
+// Query reads the state if this replica leads.
+func (h *Host) Query(ctx context.Context, request *wire.QueryRequest) (*wire.QueryResponse, error) {
+	err := h.replica.Barrier(ctx)
+	if notLeader := NotLeader(err); notLeader != nil {
+		return &wire.QueryResponse{NotLeader: notLeader}, nil
+	}
+	if err != nil {
+		return nil, status.Errorf(codes.Unavailable, "confirm read: %v", err)
+	}
+	switch body := request.GetBody().(type) {
+	case *wire.QueryRequest_Record:
+		record, _ := h.store.Record(body.Record.GetAccount(), body.Record.GetService(), body.Record.GetIdempotencyKey())
+		return &wire.QueryResponse{Record: record}, nil
+	case *wire.QueryRequest_Bundle:
+		return &wire.QueryResponse{Bundles: h.store.Bundles()}, nil
+	case *wire.QueryRequest_Audit:
+		entries, dropped := h.store.Audit(int(body.Audit.GetLimit()))
+		return &wire.QueryResponse{Audit: entries, AuditDropped: dropped}, nil
+	case *wire.QueryRequest_Index:
+		return &wire.QueryResponse{Index: h.store.Index()}, nil
+	case *wire.QueryRequest_Routing:
+		return &wire.QueryResponse{Routing: h.store.Routing()}, nil
+	}
+	return nil, status.Error(codes.InvalidArgument, "empty query")
+}
+
+// Status tells how the replicated log stands, if this replica leads.
+func (h *Host) Status(context.Context, *wire.QuorumStatusRequest) (*wire.QuorumStatusResponse, error) {
+	s := h.replica.Status()
+	if !s.Leads() {
+		return &wire.QuorumStatusResponse{NotLeader: &wire.NotLeader{Leader: s.Leader().Host}}, nil
+	}
+	response := &wire.QuorumStatusResponse{Term: s.Term(), Leader: s.Leader().Host, Commit: s.Commit(), Tolerates: int32(s.Tolerates())}
+	for _, m := range s.Members() {
+		response.Members = append(response.Members, &wire.QuorumMember{
+			Host: m.Member.Host, Replica: m.Member.Replica, Voter: m.Voter, CaughtUp: m.CaughtUp, Match: m.Match,
+		})
+	}
+	return response, nil
+}
--- a/internal/platform/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,4 +1,4 @@
-package platform
+package telemetry
 
 import (
 	"time"
--- a/internal/platform/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package telemetry_test
 
 import (
 	"os"
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"oleanderramp/internal/platform"
+	"oleanderramp/internal/telemetry"
 )
 
 type noTraffic struct{}
@@ -24,15 +24,15 @@
 func TestMetricsPage(t *testing.T) {
 	c := qt.New(t)
 	registry := prometheus.NewRegistry()
-	requests := platform.NewRequestMetrics(registry)
+	requests := telemetry.NewRequestMetrics(registry)
 	requests.Ended("s", "ok", "", time.Second)
 	requests.Waited("s", time.Second)
 	requests.Retried("s")
 	requests.Crashed("s")
 	requests.Served("s", "a", 1)
-	platform.NewScheduleMetrics(registry).Scheduled("s", "r", 1, 1, 1, 1)
-	platform.ControlTraffic(registry, "accepted", noTraffic{})
-	platform.Gauge(registry, "oleanderramp_bundle_version", "Help.", func() float64 { return 1 })
+	telemetry.NewScheduleMetrics(registry).Scheduled("s", "r", 1, 1, 1, 1)
+	telemetry.ControlTraffic(registry, "accepted", noTraffic{})
+	telemetry.Gauge(registry, "oleanderramp_bundle_version", "Help.", func() float64 { return 1 })
 	families, err := registry.Gather()
 	c.Assert(err, qt.IsNil)
 	var got []string
--- a/internal/platform/platform.go
+++ b/internal/telemetry/platform.go
@@ -1,6 +1,6 @@
-// Package platform speaks to what runs the daemon: health and readiness for
+// Package telemetry speaks to what runs the daemon: health and readiness for
 // the balancer, and metrics.
-package platform
+package telemetry
 
 import (
 	"net/http"
