--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"oleanderramp/internal/directory"
+	"oleanderramp/internal/prefixes"
 	"oleanderramp/pkg/routing"
 )
 
@@ -40,6 +41,18 @@
 	// failureSmoothing is the weight of a new outcome in the share of failed
 	// answers.
 	failureSmoothing = 0.2
+	// fetchSetupMS is what a fetch of cached prompt parts takes besides the
+	// transfer, fetchPenaltyMS weighs its price, in milliseconds.
+	fetchSetupMS   = 10.0
+	fetchPenaltyMS = 20.0
+	// homeShare is how much of the shared parts the home is taken to have read
+	// already, for another router.
+	homeShare = 0.8
+	// spareShare is how much of an engine's slots may be in use where spare
+	// requests run.
+	spareShare = 0.5
+	// paceSmoothing is the weight of a new sample in the average pace.
+	paceSmoothing = 0.02
 	// memoryShare is how much of an engine's memory requests may fill.
 	memoryShare = 0.9
 	// plainQueue is how many requests per slot of a plain service may be
@@ -74,8 +87,12 @@
 type Demand struct {
 	Service string
 	Prompt  Prompt
-	// Within is the time in which the first event or the answer must come.
+	// Within is the time in which the first event or the answer must come,
+	// Finish that in which the whole answer must; 0 for no bound.
 	Within time.Duration
+	Finish time.Duration
+	// Spare requests run only where there is room for more to come.
+	Spare bool
 	// Excluded endpoints are not asked again.
 	Excluded []string
 }
@@ -110,6 +127,9 @@
 	Predicted time.Duration
 	// Uncached are the prompt tokens that the endpoint must read.
 	Uncached int
+	// Source is another endpoint that has read more of the prompt; its ID is
+	// empty when there is none.
+	Source directory.Entry
 	// Load is what was known to be under way there.
 	Load   Load
 	Reason Reason
@@ -121,6 +141,8 @@
 	region    string
 	endpoints map[string]*endpoint
 	services  map[string]*service
+	// read are the prompt parts read since they were last taken.
+	read []prefixes.Entry
 }
 
 // service is a group of endpoints.
@@ -145,7 +167,10 @@
 	// failedAt and downUntil are set while the endpoint gets nothing.
 	failedAt  time.Time
 	downUntil time.Time
-	cache     cache
+	// paceMS is the moving average of the time between two events of a stream;
+	// 0 before it was measured.
+	paceMS float64
+	cache  cache
 }
 
 // New returns a balancer without endpoints for a router in the region.
@@ -160,7 +185,7 @@
 	for _, entry := range entries {
 		e, ok := before[entry.ID]
 		if !ok || !e.entry.Born.Equal(entry.Born) {
-			e = &endpoint{rate: startRate, cache: newCache()}
+			e = &endpoint{rate: startRate, cache: make(cache)}
 		}
 		e.entry = entry
 		b.endpoints[entry.ID] = e
@@ -197,6 +222,26 @@
 	return loads
 }
 
+// maxRead bounds the parts that wait to be told.
+const maxRead = 4096
+
+// TakeRead returns the shared prompt parts that endpoints have read for this
+// router since the last call.
+func (b *Balancer) TakeRead() []prefixes.Entry {
+	read := b.read
+	b.read = nil
+	return read
+}
+
+// SetCached takes what endpoints have read for other routers.
+func (b *Balancer) SetCached(now time.Time, entries []prefixes.Entry) {
+	for _, entry := range entries {
+		if e, ok := b.endpoints[entry.Endpoint]; ok {
+			e.cache.use(now, entry.Used, entry.Key)
+		}
+	}
+}
+
 func (e *endpoint) load(now time.Time) Load {
 	if now.Sub(e.othersAt) >= loadHolds {
 		return e.own
@@ -220,34 +265,66 @@
 	if s == nil {
 		return Choice{Reason: NoEndpoint}
 	}
+	best, bestCost := Choice{Reason: NoEndpoint}, math.Inf(1)
 	chain := chainOf(d.Prompt.Parts)
+	holders := s.holders(now, b.region, chain)
 	home := s.home(now, b.region, chain)
-	best, bestCost := Choice{Reason: NoEndpoint}, math.Inf(1)
-	for _, e := range s.endpoints {
+	for i, e := range s.endpoints {
 		if e.down(now) || slices.Contains(d.Excluded, e.entry.ID) {
 			continue
 		}
 		load := e.load(now)
-		uncached := d.Prompt.Tokens - e.cache.held(chain, e == home)
-		predicted := s.predict(e, load, uncached)
+		source, held := holders.source(i)
+		uncached := max(d.Prompt.Tokens-held, 0)
+		predicted := s.predict(e, load, uncached) + s.fetchMS(held-holders.held[i])
 		if e.entry.Region != b.region {
 			predicted += farMS
 		}
-		if !s.fits(e, load, d.Prompt) || predicted > milliseconds(d.Within) {
+		if !s.fits(e, load, d) || !s.inTime(e, d, predicted) {
 			if best.Reason == NoEndpoint {
 				best.Reason = Busy
 			}
 			continue
 		}
 		cost := predicted + e.failures*failurePenaltyMS
+		switch {
+		case held > holders.held[i]:
+			cost += fetchPenaltyMS
+		case e == home && held == 0:
+			cost -= homeShare * float64(sharedTokens(chain)) / e.rate
+		}
 		if cost < bestCost {
 			bestCost = cost
 			best = Choice{Endpoint: e.entry, Predicted: duration(predicted), Uncached: uncached, Load: load}
+			if source != nil {
+				best.Source = source.entry
+			}
 		}
 	}
 	return best
 }
 
+// home returns the endpoint of the region at which requests with the same
+// shared parts meet while nobody is known to have read them; nil when there
+// are no such parts.
+func (s *service) home(now time.Time, region string, chain []link) *endpoint {
+	if s.engine == nil || len(chain) < 2 {
+		return nil
+	}
+	key := chain[len(chain)-2].key
+	var home *endpoint
+	var highest uint64
+	for _, e := range s.endpoints {
+		if e.entry.Region != region || e.down(now) {
+			continue
+		}
+		if score := mix(xxhash.Sum64String(e.entry.ID) ^ key); home == nil || score > highest {
+			home, highest = e, score
+		}
+	}
+	return home
+}
+
 // predict returns the time until the first event or the answer, in
 // milliseconds.
 func (s *service) predict(e *endpoint, load Load, uncached int) float64 {
@@ -257,38 +334,95 @@
 	return s.workMS * max(1, float64(load.Running+1)/float64(max(e.entry.Slots, 1)))
 }
 
+// fetchMS returns how long an engine fetches so many tokens from another, in
+// milliseconds.
+func (s *service) fetchMS(tokens int) float64 {
+	if tokens <= 0 {
+		return 0
+	}
+	return fetchSetupMS + float64(tokens)/s.engine.FetchRate
+}
+
 // fits tells whether the endpoint has a slot and the memory for the request.
-func (s *service) fits(e *endpoint, load Load, prompt Prompt) bool {
+func (s *service) fits(e *endpoint, load Load, d Demand) bool {
+	slots := float64(max(e.entry.Slots, 1))
 	if s.engine == nil {
-		return float64(load.Running) < plainQueue*float64(max(e.entry.Slots, 1))
+		return float64(load.Running) < plainQueue*slots
 	}
-	if load.Running >= max(e.entry.Slots, 1) {
+	if d.Spare {
+		slots *= spareShare
+	}
+	if float64(load.Running) >= slots {
 		return false
 	}
 	memory := float64(s.engine.MemoryTokens) * memoryShare
-	return load.Running == 0 || memory == 0 || float64(load.Memory+prompt.Tokens+prompt.Output) <= memory
+	return load.Running == 0 || memory == 0 || float64(load.Memory+d.Prompt.Tokens+d.Prompt.Output) <= memory
 }
 
-// home returns the endpoint of the region at which requests with the same
-// shared parts meet; nil when there are no such parts.
-func (s *service) home(now time.Time, region string, chain []link) *endpoint {
-	if len(chain) < 2 {
-		return nil
+// inTime tells whether the first event and the whole answer come in time.
+func (s *service) inTime(e *endpoint, d Demand, predicted float64) bool {
+	if predicted > milliseconds(d.Within) {
+		return false
 	}
-	key := chain[len(chain)-2].key
-	var home *endpoint
-	var highest uint64
-	for _, e := range s.endpoints {
-		if e.entry.Region != region || e.down(now) {
+	if s.engine == nil || s.engine.EventTokens == 0 || d.Finish == 0 {
+		return true
+	}
+	events := float64(d.Prompt.Output) / float64(s.engine.EventTokens)
+	return predicted+events*e.paceMS <= milliseconds(d.Finish)
+}
+
+// holders says how much of a prompt each endpoint of a service has read.
+type holders struct {
+	endpoints []*endpoint
+	// held is the tokens, by the endpoint's place.
+	held []int
+	// best and second are the places of the endpoints that hold most; -1 for
+	// none.
+	best, second int
+}
+
+// holders finds the endpoints that have read the prompt, those of the region
+// first.
+func (s *service) holders(now time.Time, region string, chain []link) holders {
+	h := holders{endpoints: s.endpoints, held: make([]int, len(s.endpoints)), best: -1, second: -1}
+	if s.engine == nil || len(chain) < 2 {
+		return h
+	}
+	for i, e := range s.endpoints {
+		h.held[i] = e.cache.held(now, chain)
+		if h.held[i] == 0 || s.engine.FetchRate == 0 || e.down(now) {
 			continue
 		}
-		score := xxhash.Sum64String(e.entry.ID) ^ key
-		score = mix(score)
-		if home == nil || score > highest {
-			home, highest = e, score
+		switch {
+		case h.best < 0 || h.better(i, h.best, region):
+			h.best, h.second = i, h.best
+		case h.second < 0 || h.better(i, h.second, region):
+			h.second = i
 		}
 	}
-	return home
+	return h
+}
+
+// better tells whether the endpoint at place i is the better source.
+func (h *holders) better(i, j int, region string) bool {
+	if h.held[i] != h.held[j] {
+		return h.held[i] > h.held[j]
+	}
+	return h.endpoints[i].entry.Region == region && h.endpoints[j].entry.Region != region
+}
+
+// source returns another endpoint from which the one at place i can fetch what
+// it lacks, and how much it holds then. An endpoint that is taken to hold all
+// is given a source too, in case that it does no more.
+func (h *holders) source(i int) (*endpoint, int) {
+	at := h.best
+	if at == i {
+		at = h.second
+	}
+	if at < 0 || h.held[at] < h.held[i] {
+		return nil, h.held[i]
+	}
+	return h.endpoints[at], h.held[at]
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,252 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/balance"
+	"oleanderramp/internal/directory"
+	"oleanderramp/pkg/routing"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+
+const objective = time.Second
+
+func table(c *qt.C, engine routing.Engine) *routing.Table {
+	t, err := routing.New(routing.Document{
+		Version: 1, Services: []routing.Service{{Name: "engines", Engine: &engine}, {Name: "orders"}},
+	})
+	c.Assert(err, qt.IsNil)
+	return t
+}
+
+// fleet returns endpoints of a service, the last in another region.
+func fleet(service string, slots, count int) []directory.Entry {
+	var entries []directory.Entry
+	for i := range count {
+		e := directory.Entry{
+			ID: fmt.Sprintf("%s-%d", service, i), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i),
+			Region: "near", Slots: slots, Born: start, Heard: start,
+		}
+		if i == count-1 {
+			e.Region = "far"
+		}
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+func engines(c *qt.C, count int) *balance.Balancer {
+	b := balance.New("near")
+	b.Update(fleet("engines", 4, count), table(c, routing.Engine{Slots: 4, MemoryTokens: 100_000, EventTokens: 5, FetchRate: 1000}))
+	return b
+}
+
+func prompt(tokens int, shared string) balance.Prompt {
+	p := balance.Prompt{Tokens: tokens, Output: 100}
+	if shared != "" {
+		p.Parts = []balance.Part{{ID: shared, Tokens: tokens * 3 / 4}, {ID: "own", Tokens: tokens / 4}}
+	}
+	return p
+}
+
+func ask(p balance.Prompt) balance.Demand {
+	return balance.Demand{Service: "engines", Prompt: p, Within: objective}
+}
+
+func TestLoadSpreads(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 3)
+	got := map[string]int{}
+	for range 4 {
+		choice := b.Choose(start, ask(prompt(4000, "")))
+		c.Assert(choice.Reason, qt.Equals, balance.Reason(""))
+		b.Begin(start, ask(prompt(4000, "")), choice)
+		got[choice.Endpoint.ID]++
+	}
+	// The far endpoint is worth its distance from the third on.
+	c.Check(got, qt.DeepEquals, map[string]int{"engines-0": 2, "engines-1": 1, "engines-2": 1})
+}
+
+func TestOtherRoutersLoadCounts(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 3)
+	b.SetOthers(start, map[string]balance.Load{"engines-0": {Running: 1, Prefill: 20_000}})
+	c.Check(b.Choose(start, ask(prompt(4000, ""))).Endpoint.ID, qt.Equals, "engines-1")
+	// But not for long, if nobody speaks of it again.
+	c.Check(b.Choose(at(2), ask(prompt(4000, ""))).Endpoint.ID, qt.Equals, "engines-0")
+}
+
+func TestRoom(t *testing.T) {
+	tests := []struct {
+		name   string
+		others balance.Load
+		demand balance.Demand
+		want   balance.Reason
+	}{
+		{"room", balance.Load{Running: 3}, ask(prompt(1000, "")), ""},
+		{"no slot", balance.Load{Running: 4}, ask(prompt(1000, "")), balance.Busy},
+		{"no memory", balance.Load{Running: 3, Memory: 89_000}, ask(prompt(1000, "")), balance.Busy},
+		{"not in time", balance.Load{Running: 3, Prefill: 50_000}, ask(prompt(1000, "")), balance.Busy},
+		{"larger than the memory but alone", balance.Load{}, balance.Demand{Service: "engines", Prompt: prompt(120_000, ""), Within: 10 * time.Second}, ""},
+		{"no spare slot", balance.Load{Running: 2}, balance.Demand{Service: "engines", Prompt: prompt(1000, ""), Within: objective, Spare: true}, balance.Busy},
+		{"unknown service", balance.Load{}, balance.Demand{Service: "none", Within: objective}, balance.NoEndpoint},
+		{"all excluded", balance.Load{}, balance.Demand{Service: "engines", Within: objective, Excluded: []string{"engines-0"}}, balance.NoEndpoint},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := engines(c, 1)
+			b.SetOthers(start, map[string]balance.Load{"engines-0": test.others})
+			c.Check(b.Choose(start, test.demand).Reason, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestFirstEventEndsThePrefill also holds for an event count that a stream's
+// first piece brings.
+func TestFirstEventEndsThePrefill(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 1)
+	d := ask(prompt(20_000, ""))
+	ticket := b.Begin(start, d, b.Choose(start, d))
+	c.Check(b.Own()["engines-0"], qt.Equals, balance.Load{Running: 1, Prefill: 20_000, Memory: 20_100})
+	ticket.Events(at(0.5), 1)
+	c.Check(b.Own()["engines-0"], qt.Equals, balance.Load{Running: 1, Memory: 20_100})
+	ticket.End(at(1), balance.Answered)
+	ticket.End(at(1), balance.Answered)
+	c.Check(b.Own(), qt.HasLen, 0)
+}
+
+func TestRestartedEndpointCarriesNoWork(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 1)
+	d := ask(prompt(1000, ""))
+	ticket := b.Begin(start, d, b.Choose(start, d))
+	again := fleet("engines", 4, 1)
+	again[0].Born = at(1)
+	b.Update(again, table(c, routing.Engine{Slots: 4}))
+	c.Check(b.Own(), qt.HasLen, 0)
+	other := b.Begin(start, d, b.Choose(start, d))
+	ticket.End(at(1), balance.Failed)
+	c.Check(b.Own()["engines-0"].Running, qt.Equals, 1)
+	other.End(at(1), balance.Answered)
+	c.Check(b.Own(), qt.HasLen, 0)
+}
+
+func read(b *balance.Balancer, d balance.Demand, from string) {
+	choice := b.Choose(start, d)
+	for choice.Endpoint.ID != from {
+		d.Excluded = append(d.Excluded, choice.Endpoint.ID)
+		choice = b.Choose(start, d)
+	}
+	ticket := b.Begin(start, d, choice)
+	ticket.Events(start, 1)
+	ticket.End(start, balance.Answered)
+}
+
+func TestCachedPartsAttract(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 4)
+	d := ask(prompt(8000, "manual"))
+	read(b, d, "engines-2")
+	choice := b.Choose(start, d)
+	c.Check(choice.Endpoint.ID, qt.Equals, "engines-2")
+	c.Check(choice.Uncached, qt.Equals, 2000)
+	c.Check(choice.Source.ID, qt.Equals, "")
+
+	// Where that one is busy, another fetches from it.
+	b.SetOthers(start, map[string]balance.Load{"engines-2": {Running: 2, Prefill: 10_000}})
+	choice = b.Choose(start, d)
+	c.Check(choice.Endpoint.ID, qt.Not(qt.Equals), "engines-2")
+	c.Check(choice.Source.ID, qt.Equals, "engines-2")
+	c.Check(choice.Uncached, qt.Equals, 2000)
+
+	// Other routers learn it.
+	other := engines(c, 4)
+	other.SetCached(start, b.TakeRead())
+	c.Check(b.TakeRead(), qt.HasLen, 0)
+	c.Check(other.Choose(start, d).Endpoint.ID, qt.Equals, "engines-2")
+	// In time it is forgotten.
+	c.Check(other.Choose(at(30), d).Uncached, qt.Equals, 8000)
+}
+
+// TestRoutersMeet checks that routers of a region send requests with the same
+// shared parts to one endpoint before any of them knows of another.
+func TestRoutersMeet(t *testing.T) {
+	c := qt.New(t)
+	used := map[string]bool{}
+	for i := range 20 {
+		d := ask(prompt(8000, fmt.Sprint("manual-", i)))
+		one, two := engines(c, 4).Choose(start, d), engines(c, 4).Choose(start, d)
+		c.Check(one.Endpoint.ID, qt.Equals, two.Endpoint.ID)
+		used[one.Endpoint.ID] = true
+	}
+	c.Check(len(used) >= 3, qt.IsTrue, qt.Commentf("%v", used))
+}
+
+func TestUnreachableUntilAnnounced(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 1)
+	d := ask(prompt(1000, ""))
+	b.Begin(start, d, b.Choose(start, d)).End(start, balance.Unreachable)
+	c.Check(b.Choose(at(1), d).Reason, qt.Equals, balance.NoEndpoint)
+	heard := fleet("engines", 4, 1)
+	heard[0].Heard = at(1)
+	b.Update(heard, table(c, routing.Engine{Slots: 4}))
+	c.Check(b.Choose(at(1), d).Reason, qt.Equals, balance.Reason(""))
+
+	// Without a word it is tried again after a while.
+	b = engines(c, 1)
+	b.Begin(start, d, b.Choose(start, d)).End(start, balance.Unreachable)
+	c.Check(b.Choose(at(5), d).Reason, qt.Equals, balance.Reason(""))
+}
+
+func TestFailuresPutOff(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 3)
+	d := ask(prompt(1000, ""))
+	first := b.Choose(start, d)
+	b.Begin(start, d, first).End(start, balance.Failed)
+	c.Check(b.Choose(start, d).Endpoint.ID, qt.Not(qt.Equals), first.Endpoint.ID)
+}
+
+func TestWholeAnswerMustComeInTime(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 1)
+	d := ask(prompt(1000, ""))
+	d.Finish = 2 * time.Second
+	ticket := b.Begin(start, d, b.Choose(start, d))
+	ticket.Events(start, 1)
+	c.Check(b.Choose(start, d).Reason, qt.Equals, balance.Reason(""))
+	// An event each 200 ms, and 20 are to come.
+	ticket.Events(at(0.2), 1)
+	c.Check(b.Choose(start, d).Reason, qt.Equals, balance.Busy)
+	d.Finish = 5 * time.Second
+	c.Check(b.Choose(start, d).Reason, qt.Equals, balance.Reason(""))
+}
+
+func TestPlainServiceByItsSlots(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New("near")
+	b.Update(fleet("orders", 2, 3), table(c, routing.Engine{}))
+	d := balance.Demand{Service: "orders", Within: 50 * time.Millisecond}
+	got := map[string]int{}
+	for {
+		choice := b.Choose(start, d)
+		if choice.Reason != "" {
+			c.Check(choice.Reason, qt.Equals, balance.Busy)
+			break
+		}
+		b.Begin(start, d, choice)
+		got[choice.Endpoint.ID]++
+	}
+	// An answer takes 20 ms, and the far endpoint is too far.
+	c.Check(got, qt.DeepEquals, map[string]int{"orders-0": 4, "orders-1": 4})
+}
--- a/internal/balance/cache.go
+++ b/internal/balance/cache.go
@@ -2,12 +2,18 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxCachedParts bounds the prompt parts that are remembered for an endpoint.
-const maxCachedParts = 4096
+const (
+	// maxCachedParts bounds the prompt parts that are remembered for an
+	// endpoint.
+	maxCachedParts = 4096
+	// cachedFor is how long an unused part is taken to be there yet.
+	cachedFor = 30 * time.Second
+)
 
 // link is a part of a prompt together with all parts before it.
 type link struct {
@@ -37,45 +43,44 @@
 	return xxhash.Sum64(bytes[:])
 }
 
-// cache remembers which shared prompt parts an endpoint has read. When it is
-// full, the half that was used least recently is forgotten.
-type cache struct {
-	recent, former map[uint64]struct{}
-}
-
-func newCache() cache {
-	return cache{recent: make(map[uint64]struct{}), former: make(map[uint64]struct{})}
-}
+// cache remembers which shared prompt parts an endpoint has read, and when
+// they were last used.
+type cache map[uint64]time.Time
 
-// read records that the endpoint has read the prompt. The last part is the
-// request's own and not shared.
-func (c *cache) read(chain []link) {
-	for _, l := range chain[:max(len(chain)-1, 0)] {
-		c.recent[l.key] = struct{}{}
-	}
-	if len(c.recent) >= maxCachedParts/2 {
-		c.former, c.recent = c.recent, make(map[uint64]struct{})
+// use records that the endpoint has read the part.
+func (c cache) use(now, used time.Time, key uint64) {
+	if len(c) >= maxCachedParts {
+		for other, last := range c {
+			if now.Sub(last) >= cachedFor/2 {
+				delete(c, other)
+			}
+		}
 	}
-}
-
-func (c *cache) has(key uint64) bool {
-	if _, ok := c.recent[key]; ok {
-		return true
+	if len(c) < maxCachedParts && used.After(c[key]) {
+		c[key] = used
 	}
-	_, ok := c.former[key]
-	return ok
 }
 
 // held returns how many tokens of the prompt the endpoint need not read.
-// Requests of all routers of the region meet at their home, so their shared
-// parts are taken to be there.
-func (c *cache) held(chain []link, home bool) int {
+func (c cache) held(now time.Time, chain []link) int {
 	tokens := 0
-	for _, l := range chain[:max(len(chain)-1, 0)] {
-		if !home && !c.has(l.key) {
+	for _, l := range shared(chain) {
+		if used, ok := c[l.key]; !ok || now.Sub(used) >= cachedFor {
 			break
 		}
 		tokens += l.tokens
 	}
 	return tokens
 }
+
+// shared returns the links without the last one, which is the request's own.
+func shared(chain []link) []link { return chain[:max(len(chain)-1, 0)] }
+
+// sharedTokens returns the length of the shared parts.
+func sharedTokens(chain []link) int {
+	tokens := 0
+	for _, l := range shared(chain) {
+		tokens += l.tokens
+	}
+	return tokens
+}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -1,9 +1,14 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"oleanderramp/internal/prefixes"
+)
 
 // Ticket is a request's place at an endpoint.
 type Ticket struct {
+	balancer *Balancer
 	// endpoint and service are those of the choice. One that has left or
 	// started again since then is no longer in the balancer.
 	endpoint *endpoint
@@ -16,12 +21,14 @@
 	ahead int
 	begun bool
 	done  bool
+	// last is when the last event came.
+	last time.Time
 }
 
 // Begin takes the place at the endpoint that Choose returned just before.
 func (b *Balancer) Begin(now time.Time, d Demand, c Choice) *Ticket {
 	t := &Ticket{
-		endpoint: b.endpoints[c.Endpoint.ID], service: b.services[d.Service], chain: chainOf(d.Prompt.Parts), sent: now,
+		balancer: b, endpoint: b.endpoints[c.Endpoint.ID], service: b.services[d.Service], chain: chainOf(d.Prompt.Parts), sent: now,
 		load:  Load{Running: 1, Prefill: max(c.Uncached, 0), Memory: d.Prompt.Tokens + d.Prompt.Output},
 		ahead: c.Load.Prefill + max(c.Uncached, 0),
 	}
@@ -37,16 +44,34 @@
 	e.own.Memory = max(e.own.Memory-part.Memory, 0)
 }
 
-// First records the first event of the answer: the prompt has been read.
-func (t *Ticket) First(now time.Time) {
-	if t.begun || t.done {
-		return
+// Events records that so many events of the answer came. With the first one
+// the prompt has been read.
+func (t *Ticket) Events(now time.Time, count int) {
+	switch {
+	case t.done || count == 0:
+	case !t.begun:
+		t.first(now)
+	default:
+		sample := milliseconds(now.Sub(t.last)) / float64(count)
+		if t.endpoint.paceMS == 0 {
+			t.endpoint.paceMS = sample
+		}
+		t.endpoint.paceMS += paceSmoothing * (sample - t.endpoint.paceMS)
 	}
+	t.last = now
+}
+
+func (t *Ticket) first(now time.Time) {
 	t.begun = true
 	t.release(Load{Prefill: t.load.Prefill})
 	t.load.Prefill = 0
 	e := t.endpoint
-	e.cache.read(t.chain)
+	for _, l := range shared(t.chain) {
+		e.cache.use(now, now, l.key)
+		if len(t.balancer.read) < maxRead {
+			t.balancer.read = append(t.balancer.read, prefixes.Entry{Key: l.key, Endpoint: e.entry.ID, Used: now})
+		}
+	}
 	took := milliseconds(now.Sub(t.sent)) - firstEventMS
 	if t.ahead >= rateSampleTokens && took > 0 {
 		sample := min(max(float64(t.ahead)/took, minRate), maxRate)
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -90,7 +90,7 @@
 		}
 		return a.flush()
 	}
-	a.ticket.first(time.Now())
+	a.ticket.events(time.Now(), countEvents(p))
 	if !a.joined {
 		first := eventID(p)
 		if first != "" && !follows(a.lastEvent, first) {
@@ -168,7 +168,20 @@
 	_, _ = a.w.Write(body) // The caller may be gone.
 }
 
-var idField = []byte("id:")
+var (
+	idField = []byte("id:")
+	idLine  = []byte("\nid:")
+)
+
+// countEvents returns the number of events in p, of which there is one at the
+// least.
+func countEvents(p []byte) int {
+	count := bytes.Count(p, idLine)
+	if bytes.HasPrefix(p, idField) {
+		count++
+	}
+	return max(count, 1)
+}
 
 // eventID returns the id of the first event in p, or "".
 func eventID(p []byte) string {
@@ -185,7 +198,7 @@
 
 // lastEventID returns the id of the last event in p that has one, or "".
 func lastEventID(p []byte) string {
-	at := bytes.LastIndex(p, append([]byte("\n"), idField...))
+	at := bytes.LastIndex(p, idLine)
 	if at < 0 {
 		return eventID(p)
 	}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -45,7 +45,7 @@
 	w := wish{
 		demand:    balance.Demand{Service: t.service, Prompt: prompt, Excluded: t.excluded},
 		account:   t.account,
-		objective: t.objective.Sub(now), again: again,
+		objective: t.objective.Sub(now), patience: t.deadline.Sub(now), again: again,
 	}
 	if prompt.Tokens > 0 {
 		w.tokens = float64(prompt.Tokens + 2*prompt.Output)
@@ -68,6 +68,7 @@
 	fields["endpoint"], fields["predicted_ms"] = placed.choice.Endpoint.ID, placed.choice.Predicted.Milliseconds()
 	fields["running"], fields["prefill_tokens"], fields["uncached_tokens"] =
 		placed.choice.Load.Running, placed.choice.Load.Prefill, placed.choice.Uncached
+	fields["source"] = placed.choice.Source.ID
 	fields["announced_ms_ago"], fields["attempt"] = time.Since(placed.choice.Endpoint.Heard).Milliseconds(), t.arrivals+1
 	event.RequestRouted.Log(f.cfg.Log, fields)
 	return placed, nil
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -44,6 +44,9 @@
 	Account  string
 	// Endpoint is the id of the one that is meant.
 	Endpoint string
+	// Source is the address of an endpoint that has read more of the prompt;
+	// empty for none.
+	Source string
 	// LastEvent is the id of the last event that the caller has; empty to
 	// leave what the caller sent.
 	LastEvent string
--- /dev/null
+++ b/internal/edge/edge_test.go
@@ -0,0 +1,424 @@
+package edge_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/directory"
+	"oleanderramp/internal/edge"
+	"oleanderramp/internal/endpoint"
+	"oleanderramp/pkg/routing"
+	"oleanderramp/platform"
+)
+
+// tables holds one routing table.
+type tables struct{ table atomic.Pointer[routing.Table] }
+
+func (t *tables) Table() *routing.Table { return t.table.Load() }
+
+type noMetrics struct{}
+
+func (noMetrics) Ended(string, string, string, time.Duration) {}
+func (noMetrics) Waited(string, time.Duration)                {}
+func (noMetrics) Retried(string)                              {}
+func (noMetrics) Served(string, string, float64)              {}
+
+// call is what an endpoint was asked.
+type call struct {
+	method, target, host, body string
+	header                     http.Header
+}
+
+// fakeEndpoint answers each call by its function.
+type fakeEndpoint struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	calls  []call
+}
+
+func newEndpoint(c *qt.C, answer http.HandlerFunc) *fakeEndpoint {
+	e := &fakeEndpoint{}
+	e.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		e.mu.Lock()
+		e.calls = append(e.calls, call{method: r.Method, target: r.RequestURI, host: r.Host, body: string(body), header: r.Header.Clone()})
+		e.mu.Unlock()
+		w.Header().Set("Oleanderramp-Request-Id", r.Header.Get("Oleanderramp-Request-Id"))
+		answer(w, r)
+	}))
+	c.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *fakeEndpoint) seen() []call {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]call(nil), e.calls...)
+}
+
+func (e *fakeEndpoint) address() string { return e.server.Listener.Addr().String() }
+
+// site is a forwarder in front of endpoints, the first of which is preferred.
+type site struct {
+	server    *httptest.Server
+	forwarder *edge.Forwarder
+	tables    *tables
+}
+
+func document() routing.Document {
+	route := func(name, service string, kind routing.Kind, attempts int, resumable, public bool) routing.Route {
+		return routing.Route{
+			Name: name, Host: "a.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 3 * time.Second, Objective: 500 * time.Millisecond,
+			MaxPause: 200 * time.Millisecond, MaxAttempts: attempts, Resumable: resumable, Public: public,
+			Targets: []routing.Target{{Service: service, Weight: 1}},
+		}
+	}
+	return routing.Document{
+		Version: 3, Services: []routing.Service{{Name: "s"}, {Name: "none"}},
+		Routes: []routing.Route{
+			route("safe", "s", routing.Safe, 2, false, true), route("unsafe", "s", routing.Unsafe, 1, false, true),
+			route("stream", "s", routing.Streaming, 2, false, false), route("resumable", "s", routing.Streaming, 2, true, false),
+			route("empty", "none", routing.Safe, 2, false, true),
+		},
+		Accounts: []routing.Account{{Name: "tenant", Keys: []string{"secret"}}},
+		Limits:   routing.Limits{MaxBodyBytes: 1000},
+	}
+}
+
+func newSite(c *qt.C, endpoints ...*fakeEndpoint) *site {
+	s := &site{tables: &tables{}}
+	table, err := routing.New(document())
+	c.Assert(err, qt.IsNil)
+	s.tables.table.Store(table)
+	gate := edge.NewGate("r", time.Second)
+	var entries []directory.Entry
+	for i, e := range endpoints {
+		entry := directory.Entry{ID: fmt.Sprint("e", i), Service: "s", Address: e.address(), Region: "r", Slots: 10, Heard: time.Now()}
+		if i > 0 {
+			entry.Region = "other"
+		}
+		entries = append(entries, entry)
+	}
+	gate.Update(time.Now(), entries, table, time.Second)
+	adapter := platform.Adapter{}
+	client := endpoint.NewClient(endpoint.ClientConfig{Headers: adapter.Headers()})
+	s.forwarder = edge.New(edge.Config{
+		Codec: adapter, Endpoints: client, Tables: s.tables, Gate: gate, Metrics: noMetrics{},
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, MaxAnswerBytes: 1 << 20,
+	})
+	s.forwarder.SetRetryBudget(1, 100)
+	s.server = httptest.NewServer(s.forwarder)
+	c.Cleanup(func() {
+		s.server.Close()
+		client.Close()
+	})
+	return s
+}
+
+// ask sends one request and returns the status, the header and the body; the
+// error is that of reading the body.
+func (s *site) ask(c *qt.C, method, target, body string, header map[string]string) (*http.Response, string, error) {
+	request, err := http.NewRequest(method, s.server.URL, strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	request.URL.Opaque = target
+	request.Host = "a.example"
+	request.Header.Set("Oleanderramp-Request-Id", "id-1")
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func ok(body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Oleanderramp-Server-Stamp", "stamp")
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Oleanderramp-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// cut ends the connection without an answer.
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Oleanderramp-Server-Stamp", "stamp")
+		w.WriteHeader(code)
+		_, _ = io.WriteString(w, "own words")
+	}
+}
+
+// events streams events with the ids from first to last, and then cuts the
+// stream within another one or ends it.
+func events(first, last int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set("Oleanderramp-Server-Stamp", "stamp")
+		for id := first; id <= last; id++ {
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", id)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func wholeStream(first, last int) string {
+	var b strings.Builder
+	for id := first; id <= last; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: x\n\n", id)
+	}
+	return b.String()
+}
+
+func TestRequestGoesOnAsItIs(t *testing.T) {
+	c := qt.New(t)
+	e := newEndpoint(c, ok("answer"))
+	s := newSite(c, e)
+	response, body, err := s.ask(c, "POST", "/stream/a%2fb//c?q=1&q=%20", "content", map[string]string{
+		"Oleanderramp-Key": "secret", "X-Other": "kept", "Oleanderramp-Tenant": "forged", "Oleanderramp-Hold": "h",
+		"Kv-From": "x", "Oleanderramp-Pin-Ms": "5", "Oleanderramp-Kv-Backup": "y", "Oleanderramp-Deadline-Ms": "2000",
+		"Oleanderramp-Expect-Instance": "forged",
+	})
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 200)
+	c.Check(body, qt.Equals, "answer")
+	c.Check(response.Header.Get("Oleanderramp-Server-Stamp"), qt.Equals, "stamp")
+	got := e.seen()[0]
+	c.Check(got.method+" "+got.target+" "+got.host+" "+got.body, qt.Equals, "POST /stream/a%2fb//c?q=1&q=%20 a.example content")
+	c.Check(got.header.Get("X-Other"), qt.Equals, "kept")
+	c.Check(got.header.Get("Oleanderramp-Tenant"), qt.Equals, "tenant")
+	c.Check(got.header.Get("Oleanderramp-Expect-Instance"), qt.Equals, "e0")
+	for _, name := range []string{"Oleanderramp-Key", "Oleanderramp-Hold", "Kv-From", "Oleanderramp-Pin-Ms", "Oleanderramp-Kv-Backup"} {
+		c.Check(got.header.Get(name), qt.Equals, "", qt.Commentf(name))
+	}
+	left := 0
+	_, err = fmt.Sscan(got.header.Get("Oleanderramp-Deadline-Ms"), &left)
+	c.Assert(err, qt.IsNil)
+	c.Check(left > 1000 && left <= 2000, qt.IsTrue, qt.Commentf("%d", left))
+}
+
+func TestEndings(t *testing.T) {
+	tests := []struct {
+		name       string
+		path       string
+		first      http.HandlerFunc
+		second     http.HandlerFunc
+		status     int
+		body       string
+		calls      [2]int
+		retryAfter bool
+	}{
+		{"answered", "/safe/", ok("a"), ok("b"), 200, "a", [2]int{1, 0}, false},
+		{"endpoint's own refusal of the caller", "/unsafe/", status(404), nil, 404, "own words", [2]int{1, 0}, false},
+		{"safe is repeated after an error", "/safe/", status(500), ok("b"), 200, "b", [2]int{1, 1}, false},
+		{"safe is repeated after a cut", "/safe/", cut, ok("b"), 200, "b", [2]int{1, 1}, false},
+		{"safe fails twice", "/safe/", status(500), status(504), 504, "own words", [2]int{1, 1}, false},
+		{"unsafe runs once", "/unsafe/", cut, ok("b"), 502, "", [2]int{1, 0}, false},
+		{"unsafe with an error", "/unsafe/", status(500), ok("b"), 500, "own words", [2]int{1, 0}, false},
+		{"unsafe declined has no second endpoint", "/unsafe/", notRun, ok("b"), 503, "", [2]int{1, 0}, true},
+		{"stream declined goes elsewhere", "/stream/", notRun, ok("b"), 200, "b", [2]int{1, 1}, false},
+		{"stream that may have run", "/stream/", cut, ok("b"), 502, "", [2]int{1, 0}, false},
+		{"declined twice", "/stream/", notRun, notRun, 503, "", [2]int{1, 1}, true},
+		{"another instance at the address", "/stream/", status(421), ok("b"), 200, "b", [2]int{1, 1}, false},
+		{"no endpoint", "/empty/", ok("a"), ok("b"), 503, "", [2]int{0, 0}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			one := newEndpoint(c, test.first)
+			two := newEndpoint(c, test.second)
+			response, body, err := newSite(c, one, two).ask(c, "POST", test.path, "x", map[string]string{"Oleanderramp-Key": "secret"})
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.status)
+			if test.body != "" {
+				c.Check(body, qt.Equals, test.body)
+			}
+			c.Check([2]int{len(one.seen()), len(two.seen())}, qt.Equals, test.calls)
+			c.Check(response.Header.Get("Retry-After") != "", qt.Equals, test.retryAfter)
+			// The stamp is there only with the endpoint's own status.
+			stamped := response.Header.Get("Oleanderramp-Server-Stamp") != ""
+			c.Check(stamped, qt.Equals, test.body != "")
+		})
+	}
+}
+
+func TestRefusedBeforeAnyEndpoint(t *testing.T) {
+	tests := []struct {
+		name, path, key, body string
+		want                  int
+	}{
+		{"no route", "/other/", "secret", "", 404},
+		{"no key", "/stream/", "", "", 401},
+		{"unknown key", "/stream/", "guess", "", 401},
+		{"public needs none", "/safe/", "", "", 200},
+		{"body too large", "/safe/", "", strings.Repeat("x", 1001), 413},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newEndpoint(c, ok(""))
+			response, _, err := newSite(c, e).ask(c, "POST", test.path, test.body, map[string]string{"Oleanderramp-Key": test.key})
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.want)
+			c.Check(len(e.seen()) == 1, qt.Equals, test.want == 200)
+		})
+	}
+	c := qt.New(t)
+	s := newSite(c)
+	s.tables.table.Store(nil)
+	response, _, err := s.ask(c, "GET", "/safe/", "", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 503)
+}
+
+func TestStreams(t *testing.T) {
+	tests := []struct {
+		name          string
+		path          string
+		first, second http.HandlerFunc
+		body          string
+		whole         bool
+		// resumedFrom is what the second endpoint is told.
+		resumedFrom string
+	}{
+		{"whole", "/stream/", events(1, 3, true), nil, wholeStream(1, 3), true, ""},
+		{"broken stream stays broken", "/stream/", events(1, 3, false), events(4, 5, true), wholeStream(1, 3), false, ""},
+		{"resumable stream goes on", "/resumable/", events(1, 3, false), events(4, 5, true), wholeStream(1, 5), true, "3"},
+		{"with a gap it does not", "/resumable/", events(1, 3, false), events(5, 6, true), wholeStream(1, 3), false, "3"},
+		{"nor with a repeat", "/resumable/", events(1, 3, false), events(3, 6, true), wholeStream(1, 3), false, "3"},
+		{"nor with a failure", "/resumable/", events(1, 3, false), status(500), wholeStream(1, 3), false, "3"},
+		{"broken twice", "/resumable/", events(1, 3, false), events(4, 5, false), wholeStream(1, 5), false, "3"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			one, two := newEndpoint(c, test.first), newEndpoint(c, test.second)
+			_, body, err := newSite(c, one, two).ask(c, "POST", test.path, "x", map[string]string{"Oleanderramp-Key": "secret"})
+			c.Check(body, qt.Equals, test.body)
+			c.Check(err == nil, qt.Equals, test.whole)
+			got := ""
+			if calls := two.seen(); len(calls) > 0 {
+				got = calls[0].header.Get("Last-Event-Id")
+			}
+			c.Check(got, qt.Equals, test.resumedFrom)
+		})
+	}
+}
+
+func TestAnswerOfAnotherRequestGoesNowhere(t *testing.T) {
+	c := qt.New(t)
+	e := newEndpoint(c, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Oleanderramp-Request-Id", "other")
+		_, _ = io.WriteString(w, "not yours")
+	})
+	response, body, err := newSite(c, e).ask(c, "POST", "/unsafe/", "x", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 502)
+	c.Check(strings.Contains(body, "not yours"), qt.IsFalse)
+}
+
+// TestAnswerWithoutLength checks that a body which ends with its connection is
+// whole, and one that is reset on the way is not.
+func TestAnswerWithoutLength(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		t.Run(fmt.Sprint("whole=", whole), func(t *testing.T) {
+			c := qt.New(t)
+			e := newEndpoint(c, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nOleanderramp-Request-Id: id-1\r\nOleanderramp-Server-Stamp: s\r\n\r\nbody")
+				if !whole {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			})
+			response, body, err := newSite(c, e).ask(c, "POST", "/unsafe/", "x", nil)
+			c.Assert(err, qt.IsNil)
+			if whole {
+				c.Check(response.StatusCode, qt.Equals, 200)
+				c.Check(body, qt.Equals, "body")
+				return
+			}
+			c.Check(response.StatusCode, qt.Equals, 502)
+		})
+	}
+}
+
+// TestCallerLeaves checks that the endpoint learns of a caller who leaves.
+func TestCallerLeaves(t *testing.T) {
+	c := qt.New(t)
+	began, ended := make(chan struct{}), make(chan struct{})
+	e := newEndpoint(c, func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(ended)
+	})
+	s := newSite(c, e)
+	conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	fmt.Fprint(conn, "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nOleanderramp-Request-Id: id-1\r\nOleanderramp-Key: secret\r\nContent-Length: 0\r\n\r\n")
+	<-began
+	_ = conn.Close()
+	<-ended
+}
+
+// TestTimeout checks that the caller gets its final answer when its time, or
+// that of the route, is over.
+func TestTimeout(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	e := newEndpoint(c, func(http.ResponseWriter, *http.Request) { <-release })
+	s := newSite(c, e)
+	defer close(release)
+	response, _, err := s.ask(c, "POST", "/unsafe/", "x", map[string]string{"Oleanderramp-Deadline-Ms": "100"})
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 504)
+}
+
+// TestDrainingEndsConnections checks that a daemon which stops tells its
+// callers to use another connection.
+func TestDrainingEndsConnections(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, newEndpoint(c, ok("a")))
+	s.forwarder.Drain()
+	conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	fmt.Fprint(conn, "GET /safe/ HTTP/1.1\r\nHost: a.example\r\nOleanderramp-Request-Id: id-1\r\n\r\n")
+	reader := bufio.NewReader(conn)
+	response, err := http.ReadResponse(reader, nil)
+	c.Assert(err, qt.IsNil)
+	body, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(string(body), qt.Equals, "a")
+	c.Check(response.Close, qt.IsTrue)
+	_, err = reader.ReadByte()
+	c.Check(err, qt.Equals, io.EOF)
+}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -168,7 +168,7 @@
 // call returns the call to the endpoint of the placement.
 func (f *Forwarder) call(now time.Time, t *task, p placement) endpoint.Call {
 	left := t.deadline.Sub(now)
-	send := Send{TimeLeft: left, Account: t.account, Endpoint: p.choice.Endpoint.ID, LastEvent: t.answer.lastEvent}
+	send := Send{TimeLeft: left, Account: t.account, Endpoint: p.choice.Endpoint.ID, Source: p.choice.Source.Address, LastEvent: t.answer.lastEvent}
 	return endpoint.Call{
 		RequestID: t.request.ID, Address: p.choice.Endpoint.Address, Host: t.request.Host,
 		Method: t.request.Method, Path: t.request.Target, Body: t.request.Body,
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -8,6 +8,7 @@
 
 	"oleanderramp/internal/balance"
 	"oleanderramp/internal/directory"
+	"oleanderramp/internal/prefixes"
 	"oleanderramp/internal/share"
 	"oleanderramp/pkg/routing"
 )
@@ -17,7 +18,11 @@
 	// predicted to answer a request within its account's share.
 	withinLimit = 0.8
 	// beyondLimit is the same for requests beyond the share.
-	beyondLimit = 0.4
+	beyondLimit = 0.25
+	// finishWithin and finishBeyond are the parts of the caller's time in
+	// which a whole answer must be predicted.
+	finishWithin = 0.6
+	finishBeyond = 0.3
 	// holdPart is the part of the objective for which a request may wait for
 	// an endpoint.
 	holdPart = 1.0 / 8
@@ -32,6 +37,8 @@
 	account string
 	// objective is what is left of it now.
 	objective time.Duration
+	// patience is what is left of the caller's time now.
+	patience time.Duration
 	// tokens is what the request costs of its account's share; 0 for requests
 	// that no share bounds.
 	tokens float64
@@ -68,6 +75,8 @@
 type ticket struct {
 	gate  *Gate
 	inner *balance.Ticket
+	// begun is true after the first event.
+	begun bool
 }
 
 // NewGate returns a gate for a router in the region. The shares are counted
@@ -85,20 +94,23 @@
 	g.placeWaiting(now)
 }
 
-// SetOthers takes the work and the use of shares of the other routers.
-func (g *Gate) SetOthers(now time.Time, loads map[string]balance.Load, uses []share.Use) {
+// SetOthers takes the work and the use of shares of the other routers, and
+// what endpoints have read for them.
+func (g *Gate) SetOthers(now time.Time, loads map[string]balance.Load, uses []share.Use, read []prefixes.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.balancer.SetCached(now, read)
 	g.balancer.SetOthers(now, loads)
 	g.ledger.SetOthers(uses)
 	g.placeWaiting(now)
 }
 
-// Own returns the work and the use of shares of this router.
-func (g *Gate) Own(now time.Time) (map[string]balance.Load, []share.Use) {
+// Own returns the work and the use of shares of this router, and what
+// endpoints have read for it since the last call.
+func (g *Gate) Own(now time.Time) (map[string]balance.Load, []share.Use, []prefixes.Entry) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.balancer.Own(), g.ledger.Own(now)
+	return g.balancer.Own(), g.ledger.Own(now), g.balancer.TakeRead()
 }
 
 // place finds an endpoint, or waits a little for one.
@@ -135,11 +147,14 @@
 
 // try chooses an endpoint and takes a place there.
 func (g *Gate) try(now time.Time, w wish, within bool) (placement, bool) {
-	limit := withinLimit
+	limit, finish := withinLimit, finishWithin
 	if !within {
-		limit = beyondLimit
+		limit, finish = beyondLimit, finishBeyond
+	}
+	w.demand.Within, w.demand.Spare = part(w.objective, limit), !within
+	if !w.again {
+		w.demand.Finish = part(w.patience, finish)
 	}
-	w.demand.Within = time.Duration(float64(w.objective) * limit)
 	choice := g.balancer.Choose(now, w.demand)
 	if choice.Reason != "" {
 		return placement{choice: choice, within: within}, false
@@ -153,10 +168,12 @@
 	}, true
 }
 
+func part(d time.Duration, share float64) time.Duration { return time.Duration(float64(d) * share) }
+
 // wait holds the request until an endpoint has room, for a part of its
 // objective.
 func (g *Gate) wait(ctx context.Context, w *waiter, s share.Share) (placement, *failure) {
-	timer := time.NewTimer(time.Duration(float64(w.wish.objective) * holdPart))
+	timer := time.NewTimer(part(w.wish.objective, holdPart))
 	defer timer.Stop()
 	select {
 	case p := <-w.placed:
@@ -188,12 +205,15 @@
 	})
 }
 
-// first records the first event of an answer.
-func (t *ticket) first(now time.Time) {
+// events records that events of an answer came.
+func (t *ticket) events(now time.Time, count int) {
 	t.gate.mu.Lock()
 	defer t.gate.mu.Unlock()
-	t.inner.First(now)
-	t.gate.placeWaiting(now)
+	t.inner.Events(now, count)
+	if !t.begun {
+		t.begun = true
+		t.gate.placeWaiting(now)
+	}
 }
 
 // end gives the place back.
--- /dev/null
+++ b/internal/prefixes/prefixes.go
@@ -0,0 +1,92 @@
+// Package prefixes knows which endpoints have read which shared prompt parts
+// of late. Daemons exchange its entries in any order.
+//
+// It is a pure state machine: the present time is an argument.
+package prefixes
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// keepFor is how long a part is remembered after its last use.
+	keepFor = 30 * time.Second
+	// refreshAfter is by how much a later use must be later to be news.
+	refreshAfter = 3 * time.Second
+	// maxEntries bounds the entries.
+	maxEntries = 50_000
+)
+
+// Entry says that an endpoint has read the parts of a prompt up to one.
+type Entry struct {
+	// Key is the hash of the part and of all parts before it.
+	Key      uint64
+	Endpoint string
+	Used     time.Time
+}
+
+type pair struct {
+	key      uint64
+	endpoint string
+}
+
+// Index holds the entries. It is not safe for concurrent use.
+type Index struct {
+	entries  map[pair]record
+	revision uint64
+}
+
+type record struct {
+	used     time.Time
+	revision uint64
+}
+
+// New returns an empty index.
+func New() *Index { return &Index{entries: make(map[pair]record)} }
+
+// Merge takes an entry, and returns true when it is news.
+func (x *Index) Merge(now time.Time, e Entry) bool {
+	key := pair{key: e.Key, endpoint: e.Endpoint}
+	held, ok := x.entries[key]
+	if now.Sub(e.Used) >= keepFor || ok && e.Used.Sub(held.used) < refreshAfter {
+		return false
+	}
+	if !ok && len(x.entries) >= maxEntries {
+		return false
+	}
+	x.revision++
+	x.entries[key] = record{used: e.Used, revision: x.revision}
+	return true
+}
+
+// Forget removes what was not used for long.
+func (x *Index) Forget(now time.Time) {
+	for key, r := range x.entries {
+		if now.Sub(r.used) >= keepFor {
+			delete(x.entries, key)
+		}
+	}
+}
+
+// Revision returns the number of the last change.
+func (x *Index) Revision() uint64 { return x.revision }
+
+// Since returns the entries that changed after the revision, in the order of
+// their changes.
+func (x *Index) Since(revision uint64) []Entry {
+	if revision >= x.revision {
+		return nil
+	}
+	var list []Entry
+	for key, r := range x.entries {
+		if r.revision > revision {
+			list = append(list, Entry{Key: key.key, Endpoint: key.endpoint, Used: r.used})
+		}
+	}
+	slices.SortFunc(list, func(a, b Entry) int {
+		return cmp.Compare(x.entries[pair{a.Key, a.Endpoint}].revision, x.entries[pair{b.Key, b.Endpoint}].revision)
+	})
+	return list
+}
--- /dev/null
+++ b/internal/prefixes/prefixes_test.go
@@ -0,0 +1,44 @@
+package prefixes_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/prefixes"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+
+func TestNewsOnly(t *testing.T) {
+	c := qt.New(t)
+	x := prefixes.New()
+	e := prefixes.Entry{Key: 1, Endpoint: "a", Used: at(0)}
+	c.Check(x.Merge(at(0), e), qt.IsTrue)
+	c.Check(x.Merge(at(0), e), qt.IsFalse)
+	e.Used = at(2)
+	c.Check(x.Merge(at(2), e), qt.IsFalse)
+	e.Used = at(3)
+	c.Check(x.Merge(at(3), e), qt.IsTrue)
+	other := prefixes.Entry{Key: 1, Endpoint: "b", Used: at(3)}
+	c.Check(x.Merge(at(3), other), qt.IsTrue)
+	c.Check(x.Revision(), qt.Equals, uint64(3))
+	c.Check(x.Since(2), qt.DeepEquals, []prefixes.Entry{other})
+	c.Check(x.Since(0), qt.DeepEquals, []prefixes.Entry{e, other})
+	c.Check(x.Since(3), qt.HasLen, 0)
+}
+
+func TestForget(t *testing.T) {
+	c := qt.New(t)
+	x := prefixes.New()
+	x.Merge(at(0), prefixes.Entry{Key: 1, Endpoint: "a", Used: at(0)})
+	x.Forget(at(29))
+	c.Check(x.Since(0), qt.HasLen, 1)
+	x.Forget(at(30))
+	c.Check(x.Since(0), qt.HasLen, 0)
+	// What comes in that late is not taken.
+	c.Check(x.Merge(at(60), prefixes.Entry{Key: 1, Endpoint: "a", Used: at(30)}), qt.IsFalse)
+}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -17,6 +17,7 @@
 	"oleanderramp/internal/disk"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/peer"
+	"oleanderramp/internal/prefixes"
 	"oleanderramp/internal/raft"
 	"oleanderramp/internal/repair"
 	"oleanderramp/internal/replica"
@@ -71,6 +72,8 @@
 	hosts     *discovery.Table
 	directory *directory.Directory
 	marks     map[string]mark
+	// cached is what endpoints have read for the routers.
+	cached *prefixes.Index
 	// calling holds the control hosts that a call is under way to.
 	calling map[string]bool
 	// reports holds the load of the routers that report here, and siblings the
@@ -110,7 +113,7 @@
 		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, started: time.Now(), dialer: d.dialer, stop: cancel,
 		store: state.NewStore(state.Limits{}), replicator: peer.NewReplicator(d.dialer), failed: make(chan error, 1),
 		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
-		marks: make(map[string]mark), calling: make(map[string]bool),
+		marks: make(map[string]mark), calling: make(map[string]bool), cached: prefixes.New(),
 		reports: make(map[string]report), siblings: make(map[string]report),
 	}
 	if err := c.startReplica(); err != nil {
@@ -217,11 +220,15 @@
 		Responder: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)), HasLeader: !c.replica.Status().Leader().IsZero(),
 		DirectoryEpoch: c.self.GetIncarnation(), DirectoryRevision: c.directory.Revision(),
 	}
-	since := request.GetDirectoryRevision()
+	c.takeCached(now, request.GetCached())
+	since, cachedSince := request.GetDirectoryRevision(), request.GetCacheRevision()
 	if request.GetDirectoryEpoch() != c.self.GetIncarnation() {
-		since = 0
+		since, cachedSince = 0, 0
 	}
 	response.Endpoints = entriesToWire(now, c.directory.Since(since))
+	if request.GetLoad() != nil {
+		response.CacheRevision, response.Cached = c.cached.Revision(), cachedToWire(now, c.cached.Since(cachedSince))
+	}
 	if routing := c.store.Routing(); routing.GetVersion() > 0 {
 		response.RoutingVersion = routing.GetVersion()
 		if request.GetControl() == nil && routing.GetVersion() > request.GetRoutingVersion() {
@@ -234,6 +241,13 @@
 	return response
 }
 
+// takeCached takes what endpoints have read. c.mu is held.
+func (c *control) takeCached(now time.Time, list []*wire.CachedPart) {
+	for _, e := range cachedFromWire(now, list) {
+		c.cached.Merge(now, e)
+	}
+}
+
 // othersLoad sums the load of all routers but one. c.mu is held.
 func (c *control) othersLoad(now time.Time, router string) *wire.LoadReport {
 	var list []*wire.LoadReport
@@ -287,7 +301,7 @@
 		at := c.marks[address]
 		request := &wire.SyncRequest{
 			Sender: c.self, Control: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)), Load: c.ownLoad(now),
-			DirectoryEpoch: at.epoch, DirectoryRevision: at.revision,
+			DirectoryEpoch: at.epoch, DirectoryRevision: at.revision, CacheRevision: at.cache,
 		}
 		c.done.Go(func() { c.callSibling(ctx, address, request) })
 	}
@@ -307,8 +321,12 @@
 		entry := entryFromWire(now, e)
 		logChange(c.log, c.directory.Merge(entry), entry, address)
 	}
-	c.marks[address] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision()}
+	c.marks[address] = mark{
+		epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: response.GetCacheRevision(),
+	}
+	c.takeCached(now, response.GetCached())
 	c.directory.Forget(now)
+	c.cached.Forget(now)
 }
 
 // repair makes the next change of the quorum's members, if this replica leads.
--- a/internal/site/convert.go
+++ b/internal/site/convert.go
@@ -10,6 +10,7 @@
 	"oleanderramp/internal/balance"
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/discovery"
+	"oleanderramp/internal/prefixes"
 	"oleanderramp/internal/share"
 	"oleanderramp/internal/wire"
 )
@@ -85,6 +86,24 @@
 	return entry
 }
 
+func cachedToWire(now time.Time, entries []prefixes.Entry) []*wire.CachedPart {
+	list := make([]*wire.CachedPart, len(entries))
+	for i, e := range entries {
+		list[i] = &wire.CachedPart{Key: e.Key, Endpoint: e.Endpoint, UsedMsAgo: milliseconds(now.Sub(e.Used))}
+	}
+	return list
+}
+
+func cachedFromWire(now time.Time, list []*wire.CachedPart) []prefixes.Entry {
+	entries := make([]prefixes.Entry, len(list))
+	for i, p := range list {
+		entries[i] = prefixes.Entry{
+			Key: p.GetKey(), Endpoint: p.GetEndpoint(), Used: now.Add(-time.Duration(p.GetUsedMsAgo()) * time.Millisecond),
+		}
+	}
+	return entries
+}
+
 func reportToWire(loads map[string]balance.Load, uses []share.Use, routers int) *wire.LoadReport {
 	report := &wire.LoadReport{Routers: uint32(routers)}
 	for id, l := range loads {
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -70,9 +70,10 @@
 	routers int
 }
 
-// mark is a place in a control host's directory.
+// mark is a place in a control host's directory, and in its index of cached
+// prompt parts.
 type mark struct {
-	epoch, revision uint64
+	epoch, revision, cache uint64
 }
 
 func newRouter(d *Daemon) *router {
@@ -159,27 +160,24 @@
 		return r.primary
 	}
 	before := r.primary
-	r.primary = nearest(alive, r.settings, r.self.GetIncarnation())
+	r.primary = nearest(alive, r.settings.Region)
 	if r.primary != before {
 		event.PrimaryChanged.Log(r.log, event.Fields{"before": before, "peer": r.primary, "alive": len(alive)})
 	}
 	return r.primary
 }
 
-// nearest returns a host of the same zone, else of the same region, else any;
-// spread tells routers apart.
-func nearest(alive []discovery.Host, s *settings.Site, spread uint64) string {
-	filters := []func(discovery.Host) bool{
-		func(h discovery.Host) bool { return h.Zone == s.Zone },
-		func(h discovery.Host) bool { return h.Region == s.Region },
-		func(discovery.Host) bool { return true },
-	}
-	for _, near := range filters {
-		hosts := slices.DeleteFunc(slices.Clone(alive), func(h discovery.Host) bool { return !near(h) })
-		if len(hosts) > 0 {
-			return hosts[spread%uint64(len(hosts))].Address
+// nearest returns a host of the same region, else any: the same one for all
+// routers of the region, which so know of each other's load soonest.
+func nearest(alive []discovery.Host, region string) string {
+	for _, h := range alive {
+		if h.Region == region {
+			return h.Address
 		}
 	}
+	if len(alive) > 0 {
+		return alive[0].Address
+	}
 	return ""
 }
 
@@ -202,8 +200,9 @@
 func (r *router) exchange(ctx context.Context, host string, primary bool) {
 	request := &wire.SyncRequest{Sender: r.self}
 	if primary {
-		loads, uses := r.gate.Own(time.Now())
-		request.Load = reportToWire(loads, uses, 1)
+		now := time.Now()
+		loads, uses, read := r.gate.Own(now)
+		request.Load, request.Cached = reportToWire(loads, uses, 1), cachedToWire(now, read)
 	}
 	if table := r.Table(); table != nil {
 		request.RoutingVersion = table.Version()
@@ -211,7 +210,7 @@
 	r.mu.Lock()
 	at := r.marks[host]
 	r.mu.Unlock()
-	request.DirectoryEpoch, request.DirectoryRevision = at.epoch, at.revision
+	request.DirectoryEpoch, request.DirectoryRevision, request.CacheRevision = at.epoch, at.revision, at.cache
 	response, err := peer.Exchange(ctx, r.dialer, host, exchangeTimeout, request)
 	if err != nil {
 		r.lost(ctx, host, err)
@@ -250,7 +249,10 @@
 		changed = changed || change != directory.Stale
 	}
 	r.directory.Forget(now)
-	r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision()}
+	r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: r.marks[host].cache}
+	if primary {
+		r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: response.GetCacheRevision()}
+	}
 	usable := r.directory.Usable()
 	if primary {
 		r.routers = int(response.GetLoad().GetRouters())
@@ -263,7 +265,7 @@
 	}
 	if primary {
 		loads, uses := reportFromWire(response.GetLoad())
-		r.gate.SetOthers(now, loads, uses)
+		r.gate.SetOthers(now, loads, uses, cachedFromWire(now, response.GetCached()))
 		r.setBudget()
 	}
 }
