--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -217,7 +217,7 @@
 		c.reports[sender] = report{load: request.GetLoad(), at: now}
 	}
 	response := &wire.SyncResponse{
-		Responder: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)), HasLeader: !c.replica.Status().Leader().IsZero(),
+		Responder: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)),
 		DirectoryEpoch: c.self.GetIncarnation(), DirectoryRevision: c.directory.Revision(),
 	}
 	c.takeCached(now, request.GetCached())
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -279,14 +279,11 @@
 	r.forwarder.SetRetryBudget(retries.Ratio*budgetPart, retries.Slack*budgetPart/float64(routers))
 }
 
-// adopt puts a newer routing table in force. A router takes its first one only
-// from a control host that hears from a leader, and never goes back.
+// adopt puts a newer routing table in force. A router never goes back.
 func (r *router) adopt(response *wire.SyncResponse, host string) bool {
 	current := r.Table()
-	if len(response.GetRoutingDocument()) == 0 || current == nil && !response.GetHasLeader() {
-		return false
-	}
-	if current != nil && response.GetRoutingVersion() <= current.Version() {
+	known := current != nil && response.GetRoutingVersion() <= current.Version()
+	if known || len(response.GetRoutingDocument()) == 0 {
 		return false
 	}
 	document, err := decompress(response.GetRoutingDocument())
