--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -98,6 +98,7 @@
 
 // The codes.
 const (
+	CodeDraining      Code = "draining"
 	CodeNoTable       Code = "no_routing_table"
 	CodeNoRoute       Code = "no_route"
 	CodeUnknownKey    Code = "unknown_key"
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -422,3 +422,19 @@
 	_, err = reader.ReadByte()
 	c.Check(err, qt.Equals, io.EOF)
 }
+
+// TestRefusingTakesNothing checks that a daemon which is about to end sends no
+// request on that it could not bring to its end.
+func TestRefusingTakesNothing(t *testing.T) {
+	c := qt.New(t)
+	e := newEndpoint(c, ok("a"))
+	s := newSite(c, e)
+	s.forwarder.Drain()
+	s.forwarder.Refuse()
+	response, _, err := s.ask(c, "POST", "/unsafe/", "x", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 503)
+	c.Check(response.Header.Get("Retry-After"), qt.Equals, "0.05")
+	c.Check(response.Close, qt.IsTrue)
+	c.Check(e.seen(), qt.HasLen, 0)
+}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -34,6 +34,7 @@
 	// active counts the requests under way.
 	active   atomic.Int64
 	draining atomic.Bool
+	refusing atomic.Bool
 
 	// mu guards the budget of each service.
 	mu     sync.Mutex
@@ -71,6 +72,10 @@
 // Drain makes all answers from now on end their connections.
 func (f *Forwarder) Drain() { f.draining.Store(true) }
 
+// Refuse turns all further requests away: they could not end before the daemon
+// does.
+func (f *Forwarder) Refuse() { f.refusing.Store(true) }
+
 // Active returns the number of requests under way.
 func (f *Forwarder) Active() int { return int(f.active.Load()) }
 
@@ -95,8 +100,15 @@
 	answer *answer
 }
 
+// drainingRetryAfter is when a caller that was refused by a daemon which is
+// shutting down may come back: another daemon takes the request.
+const drainingRetryAfter = 50 * time.Millisecond
+
 // resolve finds the route and the account of the request.
 func (f *Forwarder) resolve(request *Request) (*task, *failure) {
+	if f.refusing.Load() {
+		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
+	}
 	table := f.cfg.Tables.Table()
 	if table == nil {
 		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeNoTable, retryAfter: time.Second, message: "no routing table is known yet"}
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -118,7 +118,10 @@
 	now := time.Now()
 	g.mu.Lock()
 	within, s := g.claim(now, w)
-	p, ok := g.try(now, w, within)
+	p, ok := placement{choice: balance.Choice{Reason: balance.Busy}}, false
+	if within || s.Spare(w.tokens) {
+		p, ok = g.try(now, w, within)
+	}
 	if ok || !within || p.choice.Reason == balance.NoEndpoint {
 		g.mu.Unlock()
 		p.share = s
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -7,6 +7,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -112,13 +113,30 @@
 	}
 }
 
+const (
+	// spareRatio is by how much the account that got most may lead the one
+	// that got least, of those that ask for more than they get.
+	spareRatio = 1.5
+	// metPart is the part of what it asks for that an account must get to
+	// count as served.
+	metPart = 0.95
+)
+
 // Share is an account's part of the capacity within the window, in tokens.
 type Share struct {
 	// Level is what an account gets that asks for more than an even share.
 	Level float64
+	// SpareLevel is up to where it may have more, if there is room.
+	SpareLevel float64
 	Use
 }
 
+// Spare tells whether the account may have so many tokens more where there is
+// room.
+func (s Share) Spare(tokens float64) bool {
+	return s.Within(tokens) || s.Admitted+tokens <= s.SpareLevel
+}
+
 // Within tells whether the account may have so many tokens more.
 func (s Share) Within(tokens float64) bool {
 	return s.Asked <= s.Level || s.Admitted+tokens <= s.Level
@@ -139,7 +157,20 @@
 	for _, u := range total {
 		asked = append(asked, u.Asked)
 	}
-	return Share{Level: level(asked, capacity), Use: total[account]}
+	s := Share{Level: level(asked, capacity), Use: total[account]}
+	s.SpareLevel = spareLevel(total, account, s.Level)
+	return s
+}
+
+// spareLevel returns up to where the account may lead the others.
+func spareLevel(total map[string]Use, account string, level float64) float64 {
+	least := math.Inf(1)
+	for name, u := range total {
+		if name != account && u.Asked > level && u.Admitted < metPart*u.Asked {
+			least = min(least, u.Admitted)
+		}
+	}
+	return max(level, spareRatio*least)
 }
 
 // level returns the amount up to which each demand is met when the capacity is
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -58,3 +58,39 @@
 	c.Check(got.Within(6), qt.IsFalse)
 	c.Check(l.Share(start, "small", 100).Within(1000), qt.IsTrue)
 }
+
+// TestSpareCapacityIsSharedToo checks that of accounts beyond their share none
+// gets far ahead of another that wants more.
+func TestSpareCapacityIsSharedToo(t *testing.T) {
+	c := qt.New(t)
+	l := share.New(window)
+	for account, got := range map[string]float64{"ahead": 120, "behind": 60, "served": 90} {
+		asked := 500.0
+		if account == "served" {
+			asked = 92
+		}
+		l.Ask(start, account, asked)
+		l.Admit(start, account, got)
+	}
+	const capacity = 150
+	tests := []struct {
+		account string
+		tokens  float64
+		want    bool
+	}{
+		{"ahead", 1, false},
+		{"behind", 30, true},
+		{"behind", 120, true},
+		{"behind", 121, false},
+	}
+	for _, test := range tests {
+		got := l.Share(start, test.account, capacity)
+		c.Check(got.Level, qt.Equals, 50.0)
+		c.Check(got.Spare(test.tokens), qt.Equals, test.want, qt.Commentf("%s %v: %v", test.account, test.tokens, got))
+	}
+	// Alone, an account may have all that there is.
+	alone := share.New(window)
+	alone.Ask(start, "a", 500)
+	alone.Admit(start, "a", 400)
+	c.Check(alone.Share(start, "a", capacity).Spare(100), qt.IsTrue)
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -208,7 +208,11 @@
 			}
 			return cut
 		case now := <-ticker.C:
-			if now.Sub(start) >= notReadyFor && d.router.forwarder.Active() == 0 {
+			if now.Sub(start) < notReadyFor {
+				continue
+			}
+			d.router.forwarder.Refuse()
+			if d.router.forwarder.Active() == 0 {
 				return 0
 			}
 		}
