Tell refused callers to come back in time for their objective

Cause: with Retry-After 2 s all that was refused came back late, and what was served of it earned a third. A quarter of the objective gives another router, or the share a moment later, the chance to answer in time. Accounts count as behind only below 0.7 of what they ask.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -48,6 +48,9 @@
 	// homeShare is how much of the shared parts the home is taken to have read
 	// already, for another router.
 	homeShare = 0.8
+	// lateShare is the part of the objective that a prompt may wait which can't
+	// meet it anyway.
+	lateShare = 0.3
 	// spareShare is how much of an engine's slots may be in use where spare
 	// requests run.
 	spareShare = 0.5
@@ -276,11 +279,12 @@
 		load := e.load(now)
 		source, held := holders.source(i)
 		uncached := max(d.Prompt.Tokens-held, 0)
+		alone := s.predict(e, Load{}, uncached)
 		predicted := s.predict(e, load, uncached) + s.fetchMS(held-holders.held[i])
 		if e.entry.Region != b.region {
 			predicted += farMS
 		}
-		if !s.fits(e, load, d) || !s.inTime(e, d, predicted) {
+		if !s.fits(e, load, d) || !s.inTime(e, d, predicted, alone) {
 			if best.Reason == NoEndpoint {
 				best.Reason = Busy
 			}
@@ -359,9 +363,15 @@
 	return load.Running == 0 || memory == 0 || float64(load.Memory+d.Prompt.Tokens+d.Prompt.Output) <= memory
 }
 
-// inTime tells whether the first event and the whole answer come in time.
-func (s *service) inTime(e *endpoint, d Demand, predicted float64) bool {
-	if predicted > milliseconds(d.Within) {
+// inTime tells whether the first event and the whole answer come in time. A
+// prompt that takes too long on an idle engine already may wait for a part of
+// the time besides.
+func (s *service) inTime(e *endpoint, d Demand, predicted, alone float64) bool {
+	within := milliseconds(d.Within)
+	if s.engine != nil {
+		within = max(within, alone+lateShare*within)
+	}
+	if predicted > within {
 		return false
 	}
 	if s.engine == nil || s.engine.EventTokens == 0 || d.Finish == 0 {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -95,6 +95,8 @@
 		{"no memory", balance.Load{Running: 3, Memory: 89_000}, ask(prompt(1000, "")), balance.Busy},
 		{"not in time", balance.Load{Running: 3, Prefill: 50_000}, ask(prompt(1000, "")), balance.Busy},
 		{"larger than the memory but alone", balance.Load{}, balance.Demand{Service: "engines", Prompt: prompt(120_000, ""), Within: 10 * time.Second}, ""},
+		{"too long for the objective on an idle engine", balance.Load{}, ask(prompt(60_000, "")), ""},
+		{"the same behind others", balance.Load{Running: 1, Prefill: 20_000}, ask(prompt(60_000, "")), balance.Busy},
 		{"no spare slot", balance.Load{Running: 2}, balance.Demand{Service: "engines", Prompt: prompt(1000, ""), Within: objective, Spare: true}, balance.Busy},
 		{"unknown service", balance.Load{}, balance.Demand{Service: "none", Within: objective}, balance.NoEndpoint},
 		{"all excluded", balance.Load{}, balance.Demand{Service: "engines", Within: objective, Excluded: []string{"engines-0"}}, balance.NoEndpoint},
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -267,6 +268,20 @@
 	}
 }
 
+// TestRefusalIsWorthComingBackAt checks that a caller who was refused may come
+// back in time for its objective, at once.
+func TestRefusalIsWorthComingBackAt(t *testing.T) {
+	c := qt.New(t)
+	start := time.Now()
+	response, _, err := newSite(c).ask(c, "GET", "/empty/", "", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 503)
+	c.Check(time.Since(start) < 100*time.Millisecond, qt.IsTrue)
+	after, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	c.Assert(err, qt.IsNil)
+	c.Check(after > 0 && after < 0.25, qt.IsTrue, qt.Commentf("%v", after))
+}
+
 func TestRefusedBeforeAnyEndpoint(t *testing.T) {
 	tests := []struct {
 		name, path, key, body string
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -26,9 +26,12 @@
 	// holdPart is the part of the objective for which a request may wait for
 	// an endpoint.
 	holdPart = 1.0 / 8
-	// busyRetryAfter is when a caller that was refused for want of room may
-	// come back.
-	busyRetryAfter = 2 * time.Second
+	// againPart is the part of the objective after which a caller that was
+	// refused for want of room may come back: another router may have room, or
+	// the account a share again, in time for the objective.
+	againPart = 0.25
+	// leastRetryAfter is the least time to come back after.
+	leastRetryAfter = 50 * time.Millisecond
 )
 
 // wish is a request that needs an endpoint.
@@ -126,7 +129,7 @@
 		g.mu.Unlock()
 		p.share = s
 		if !ok {
-			return p, refusal(p.choice.Reason, within)
+			return p, refusal(w, p.choice.Reason, within)
 		}
 		return p, nil
 	}
@@ -193,7 +196,7 @@
 		p.share = s
 		return p, nil
 	default:
-		return placement{within: w.within, share: s}, refusal(balance.Busy, w.within)
+		return placement{within: w.within, share: s}, refusal(w.wish, balance.Busy, w.within)
 	}
 }
 
@@ -227,8 +230,8 @@
 	t.gate.placeWaiting(now)
 }
 
-func refusal(reason balance.Reason, within bool) *failure {
-	f := &failure{status: 503, outcome: OutcomeNotRun, retryAfter: busyRetryAfter}
+func refusal(w wish, reason balance.Reason, within bool) *failure {
+	f := &failure{status: 503, outcome: OutcomeNotRun, retryAfter: max(part(w.objective, againPart), leastRetryAfter)}
 	switch {
 	case reason == balance.NoEndpoint:
 		f.code, f.message = CodeNoEndpoint, "no endpoint can be reached"
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -116,10 +116,10 @@
 const (
 	// spareRatio is by how much the account that got most may lead the one
 	// that got least, of those that ask for more than they get.
-	spareRatio = 1.5
+	spareRatio = 1.6
 	// metPart is the part of what it asks for that an account must get to
 	// count as served.
-	metPart = 0.95
+	metPart = 0.7
 )
 
 // Share is an account's part of the capacity within the window, in tokens.
