Close unused callers' connections in time, and ask all control hosts at a start

Unused ones now end by the routing table's limit, sooner while more than 512 are open, and refused callers' then at once.

--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -24,6 +24,9 @@
 	Gate      *Gate
 	Metrics   Metrics
 	Log       log.Interface
+	// Crowded tells whether too many callers' connections are open; those of
+	// refused requests are closed then.
+	Crowded func() bool
 	// MaxAnswerBytes bounds an answer.
 	MaxAnswerBytes int64
 }
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -51,6 +51,7 @@
 	case failed.code == CodeEndpointError:
 		_ = a.finish() // The caller may be gone.
 	default:
+		a.close = a.close || f.cfg.Crowded()
 		a.fail(t.request.ID, failed)
 	}
 }
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -33,6 +33,10 @@
 	// DataFolder holds all durable files. Required for RoleReplica.
 	DataFolder string `json:"data_folder,omitempty"`
 	MemoryMB   int    `json:"memory_mb"`
+	// MaxConnections is how many connections of one listener may be open
+	// before unused ones are closed early, and those of refused callers at
+	// once.
+	MaxConnections int `json:"max_connections"`
 	// ShutdownS is how long a daemon may take to stop, in seconds.
 	ShutdownS float64 `json:"shutdown_s"`
 	// ShareWindowS is the window over which client accounts have their shares,
@@ -69,6 +73,7 @@
 // Defaults fills the fields that are unset.
 func (s *Site) Defaults() {
 	setDefault(&s.ShutdownS, 10)
+	setDefault(&s.MaxConnections, 512)
 	setDefault(&s.ShareWindowS, 4)
 	setDefault(&s.Retries.Ratio, 0.2)
 	setDefault(&s.Retries.Slack, 50)
@@ -177,6 +182,9 @@
 	if s.MemoryMB < 0 {
 		list.Addf("memory_mb", "must not be negative")
 	}
+	if s.MaxConnections < 0 {
+		list.Addf("max_connections", "must not be negative")
+	}
 	if s.ShutdownS <= 0 {
 		list.Addf("shutdown_s", "must be more than 0")
 	}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -53,10 +53,12 @@
 	gate      *edge.Gate
 	client    *endpoint.Client
 	forwarder *edge.Forwarder
-	draining  atomic.Bool
-	table     atomic.Pointer[routing.Table]
-	stop      context.CancelFunc
-	done      sync.WaitGroup
+	// open are the callers' connections.
+	open     *connections
+	draining atomic.Bool
+	table    atomic.Pointer[routing.Table]
+	stop     context.CancelFunc
+	done     sync.WaitGroup
 
 	// mu guards what follows.
 	mu        sync.Mutex
@@ -87,8 +89,14 @@
 			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdle, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
 		}),
 	}
+	r.open = newConnections(d.settings.MaxConnections, func() time.Duration {
+		if table := r.Table(); table != nil {
+			return table.Limits().IdleTimeout
+		}
+		return 0
+	})
 	r.forwarder = edge.New(edge.Config{
-		Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
+		Crowded: r.open.crowded, Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
 		Metrics: telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
 	})
 	r.setBudget()
@@ -98,7 +106,10 @@
 		}
 		return 0
 	})
-	r.done.Go(func() { r.every(ctx, primaryPeriod, r.syncPrimary) })
+	r.done.Go(func() {
+		r.findTable(ctx)
+		r.every(ctx, primaryPeriod, r.syncPrimary)
+	})
 	r.done.Go(func() { r.every(ctx, othersPeriod, r.syncNext()) })
 	return r
 }
@@ -144,6 +155,28 @@
 	r.hosts.SetSeeds(seeds)
 }
 
+// findTable asks all known control hosts at once until one of them has a
+// routing table.
+func (r *router) findTable(ctx context.Context) {
+	ticker := time.NewTicker(primaryPeriod)
+	defer ticker.Stop()
+	for r.Table() == nil {
+		r.mu.Lock()
+		targets := r.hosts.Targets(time.Now())
+		r.mu.Unlock()
+		var calls sync.WaitGroup
+		for _, host := range targets {
+			calls.Go(func() { r.exchange(ctx, host, false) })
+		}
+		calls.Wait()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // syncPrimary calls the control host that gets this router's load.
 func (r *router) syncPrimary(ctx context.Context) {
 	if host := r.choosePrimary(time.Now()); host != "" {
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	// headerTimeout bounds the head of a request; idleTimeout how long a
-	// connection may be unused.
+	// headerTimeout bounds the head of a request.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 75 * time.Second
+	// defaultIdle is how long a connection may be unused unless the routing
+	// table says so; crowdedIdle is the same while too many are open.
+	defaultIdle = 75 * time.Second
+	crowdedIdle = time.Second
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
 	// clientKeepAlive is how long a connection is silent before it is probed.
@@ -29,13 +31,13 @@
 }
 
 // newServer opens the address and starts to serve.
-func newServer(address string, handler http.Handler) (*server, error) {
+func newServer(address string, handler http.Handler, open *connections) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	s := &server{http: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: open.changed,
 		// What the server says of single connections is no news.
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}}
@@ -67,3 +69,56 @@
 	})
 	return conn, nil
 }
+
+// connections closes those connections of a server that were unused for too
+// long. It is safe for concurrent use.
+type connections struct {
+	// most is how many may be open before they count as too many.
+	most int
+	// idle returns how long a connection may be unused; 0 for no word on that.
+	idle func() time.Duration
+
+	mu sync.Mutex
+	// open holds a timer for each connection that is unused, and nil for the
+	// others.
+	open map[net.Conn]*time.Timer
+}
+
+func newConnections(most int, idle func() time.Duration) *connections {
+	return &connections{most: most, idle: idle, open: make(map[net.Conn]*time.Timer)}
+}
+
+// crowded tells whether too many connections are open.
+func (c *connections) crowded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open) > c.most
+}
+
+// changed follows the state of a connection.
+func (c *connections) changed(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if timer := c.open[conn]; timer != nil {
+		timer.Stop()
+	}
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, conn)
+	case http.StateIdle:
+		c.open[conn] = time.AfterFunc(c.patience(), func() { _ = conn.Close() }) // The server notices.
+	default:
+		c.open[conn] = nil
+	}
+}
+
+// patience returns how long a connection may be unused now. c.mu is held.
+func (c *connections) patience() time.Duration {
+	if len(c.open) > c.most {
+		return crowdedIdle
+	}
+	if idle := c.idle(); idle > 0 {
+		return idle
+	}
+	return defaultIdle
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -115,28 +115,33 @@
 			return fmt.Errorf("listen for peers: %w", err)
 		}
 		d.peers = peer.NewServer(listener, peer.ServerConfig{State: d.control.host, Replication: d.control.replica, Sync: d.control})
-		if err := d.serve("control", listen.Control, d.adapter.Control(d.control, d.log)); err != nil {
+		if err := d.serve("control", listen.Control, d.adapter.Control(d.control, d.log), d.connections()); err != nil {
 			return err
 		}
 	}
 	if d.settings.HasRole(settings.RoleRouter) {
 		d.router = newRouter(d)
-		if err := d.serve("callers", listen.Callers, d.router.forwarder); err != nil {
+		if err := d.serve("callers", listen.Callers, d.router.forwarder, d.router.open); err != nil {
 			return err
 		}
 	}
-	if err := d.serve("readiness", listen.Readiness, d.adapter.Readiness(d)); err != nil {
+	if err := d.serve("readiness", listen.Readiness, d.adapter.Readiness(d), d.connections()); err != nil {
 		return err
 	}
-	return d.serve("metrics", listen.Metrics, promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	return d.serve("metrics", listen.Metrics, promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}), d.connections())
+}
+
+// connections returns the bounds of a listener that is not the callers'.
+func (d *Daemon) connections() *connections {
+	return newConnections(d.settings.MaxConnections, func() time.Duration { return 0 })
 }
 
 // serve opens a listener, unless the address is empty.
-func (d *Daemon) serve(name, address string, handler http.Handler) error {
+func (d *Daemon) serve(name, address string, handler http.Handler, open *connections) error {
 	if address == "" {
 		return nil
 	}
-	s, err := newServer(address, handler)
+	s, err := newServer(address, handler, open)
 	if err != nil {
 		return fmt.Errorf("listen for %s: %w", name, err)
 	}
--- a/pkg/routing/document.go
+++ b/pkg/routing/document.go
@@ -102,6 +102,9 @@
 type Limits struct {
 	// MaxBodyBytes bounds the body of a request; 0 for no bound.
 	MaxBodyBytes int64
+	// IdleTimeout is how long a caller's connection may be unused; 0 for no
+	// word on that.
+	IdleTimeout time.Duration
 	// TokensPerSecond is about what all engines process together: a token read
 	// counts once, a token generated twice.
 	TokensPerSecond float64
