--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -82,6 +82,7 @@
 	_, err := f.cfg.Endpoints.Do(ctx, f.call(time.Now(), t, p), t.answer)
 	if err == nil {
 		p.ticket.end(time.Now(), balance.Answered)
+		f.crashes.answered(time.Now(), t.digest)
 		f.cfg.Metrics.Served(t.service, t.account, float64(t.request.Prompt.Tokens))
 		return nil
 	}
@@ -90,6 +91,12 @@
 		callErr = &endpoint.CallError{Kind: endpoint.ConnectionLost}
 	}
 	p.ticket.end(time.Now(), outcomeOf(callErr))
+	switch callErr.Kind {
+	case endpoint.ConnectionLost, endpoint.Truncated:
+		f.crashes.broke(time.Now(), p.choice.Endpoint, t.digest)
+	case endpoint.DialFailed:
+		f.crashes.unreachable(time.Now(), p.choice.Endpoint.ID)
+	}
 	if callErr.Kind != endpoint.DialFailed && callErr.Kind != endpoint.NotSent {
 		t.arrivals++
 	}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -12,6 +12,7 @@
 
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
+	"oleanderramp/internal/quarantine"
 	"oleanderramp/internal/retry"
 	"oleanderramp/pkg/routing"
 )
@@ -38,6 +39,7 @@
 	active   atomic.Int64
 	draining atomic.Bool
 	refusing atomic.Bool
+	crashes  *crashes
 
 	// mu guards the budget of each service.
 	mu     sync.Mutex
@@ -47,7 +49,7 @@
 // New returns a forwarder without requests.
 func New(cfg Config) *Forwarder {
 	return &Forwarder{
-		cfg:    cfg,
+		cfg: cfg, crashes: newCrashes(cfg.Log),
 		budget: retry.New(retry.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 	}
 }
@@ -90,6 +92,8 @@
 	account string
 	// version is that of the routing table that allowed the request.
 	version uint64
+	// digest identifies the request's content.
+	digest quarantine.Digest
 	// objective is when the first event or the answer is due, deadline when
 	// the caller's or the route's time is over.
 	objective time.Time
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"oleanderramp/internal/quarantine"
 	"oleanderramp/pkg/routing"
 )
 
@@ -23,6 +24,9 @@
 	if failed == nil {
 		failed = readBody(w, r, t, f.cfg.Tables.Table())
 	}
+	if failed == nil {
+		failed = f.examine(t)
+	}
 	if failed == nil {
 		a.stream, a.mayGoOn, a.deadline = t.isStream(), t.isStream() && t.route.Resumable, t.deadline.Add(writeSlack)
 		failed = f.run(r.Context(), t)
@@ -30,6 +34,19 @@
 	f.answerEnd(t, failed)
 }
 
+// examine refuses a request that crashes endpoints.
+func (f *Forwarder) examine(t *task) *failure {
+	t.digest = quarantine.NewDigest(t.account, t.request.Method, t.request.Target, t.request.Body)
+	verdict := f.crashes.verdict(time.Now(), t.digest)
+	if verdict.Status != quarantine.Quarantined {
+		return nil
+	}
+	return &failure{
+		status: http.StatusServiceUnavailable, outcome: OutcomeNotRun, code: CodeQuarantined, retryAfter: verdict.RetryAfter,
+		message: "the request has crashed endpoints and is not run again for a while",
+	}
+}
+
 // writeSlack is how long after the caller's time an answer may still be
 // written.
 const writeSlack = 500 * time.Millisecond
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -15,6 +15,7 @@
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/discovery"
 	"oleanderramp/internal/disk"
+	"oleanderramp/internal/edge"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/peer"
 	"oleanderramp/internal/prefixes"
@@ -74,6 +75,9 @@
 	marks     map[string]mark
 	// cached is what endpoints have read for the routers.
 	cached *prefixes.Index
+	// crashers are what routers have found of late, with the time at which it
+	// came in.
+	crashers []crasherNews
 	// calling holds the control hosts that a call is under way to.
 	calling map[string]bool
 	// reports holds the load of the routers that report here, and siblings the
@@ -85,6 +89,15 @@
 	voters map[raft.Member]bool
 }
 
+// crasherNews is a crasher with its time.
+type crasherNews struct {
+	crasher edge.Crasher
+	at      time.Time
+}
+
+// crasherNewsFor is how long a control host passes a crasher on.
+const crasherNewsFor = 3 * time.Second
+
 // report is a load with its time.
 type report struct {
 	load *wire.LoadReport
@@ -221,6 +234,10 @@
 		DirectoryEpoch: c.self.GetIncarnation(), DirectoryRevision: c.directory.Revision(),
 	}
 	c.takeCached(now, request.GetCached())
+	if request.GetControl() == nil {
+		c.takeCrashers(now, request.GetCrashers())
+	}
+	response.Crashers = crashersToWire(now, c.recentCrashers(now))
 	since, cachedSince := request.GetDirectoryRevision(), request.GetCacheRevision()
 	if request.GetDirectoryEpoch() != c.self.GetIncarnation() {
 		since, cachedSince = 0, 0
@@ -248,6 +265,31 @@
 	}
 }
 
+// takeCrashers takes what a router has found, and what another control host
+// passes on. c.mu is held.
+func (c *control) takeCrashers(now time.Time, list []*wire.Crasher) {
+	for _, crasher := range crashersFromWire(now, list) {
+		known := slices.ContainsFunc(c.crashers, func(n crasherNews) bool {
+			return n.crasher.Digest == crasher.Digest && n.crasher.Quarantined == crasher.Quarantined
+		})
+		if !known {
+			c.crashers = append(c.crashers, crasherNews{crasher: crasher, at: now})
+		}
+	}
+}
+
+// recentCrashers returns what came in of late. c.mu is held.
+func (c *control) recentCrashers(now time.Time) []edge.Crasher {
+	var list []edge.Crasher
+	c.crashers = slices.DeleteFunc(c.crashers, func(n crasherNews) bool { return now.Sub(n.at) >= 2*crasherNewsFor })
+	for _, n := range c.crashers {
+		if now.Sub(n.at) < crasherNewsFor {
+			list = append(list, n.crasher)
+		}
+	}
+	return list
+}
+
 // othersLoad sums the load of all routers but one. c.mu is held.
 func (c *control) othersLoad(now time.Time, router string) *wire.LoadReport {
 	var list []*wire.LoadReport
@@ -325,6 +367,7 @@
 		epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: response.GetCacheRevision(),
 	}
 	c.takeCached(now, response.GetCached())
+	c.takeCrashers(now, response.GetCrashers())
 	c.directory.Forget(now)
 	c.cached.Forget(now)
 }
--- a/internal/site/convert.go
+++ b/internal/site/convert.go
@@ -10,6 +10,7 @@
 	"oleanderramp/internal/balance"
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/discovery"
+	"oleanderramp/internal/edge"
 	"oleanderramp/internal/prefixes"
 	"oleanderramp/internal/share"
 	"oleanderramp/internal/wire"
@@ -104,6 +105,25 @@
 	return entries
 }
 
+func crashersToWire(now time.Time, crashers []edge.Crasher) []*wire.Crasher {
+	list := make([]*wire.Crasher, len(crashers))
+	for i, c := range crashers {
+		list[i] = &wire.Crasher{Digest: c.Digest[:], Quarantined: c.Quarantined, LeftMs: milliseconds(c.Until.Sub(now))}
+	}
+	return list
+}
+
+func crashersFromWire(now time.Time, list []*wire.Crasher) []edge.Crasher {
+	var crashers []edge.Crasher
+	for _, c := range list {
+		crasher := edge.Crasher{Quarantined: c.GetQuarantined(), Until: now.Add(time.Duration(c.GetLeftMs()) * time.Millisecond)}
+		if copy(crasher.Digest[:], c.GetDigest()) == len(crasher.Digest) {
+			crashers = append(crashers, crasher)
+		}
+	}
+	return crashers
+}
+
 func reportToWire(loads map[string]balance.Load, uses []share.Use, routers int) *wire.LoadReport {
 	report := &wire.LoadReport{Routers: uint32(routers)}
 	for id, l := range loads {
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -236,6 +236,7 @@
 		now := time.Now()
 		loads, uses, read := r.gate.Own(now)
 		request.Load, request.Cached = reportToWire(loads, uses, 1), cachedToWire(now, read)
+		request.Crashers = crashersToWire(now, r.forwarder.Crashers(now))
 	}
 	if table := r.Table(); table != nil {
 		request.RoutingVersion = table.Version()
@@ -292,6 +293,10 @@
 	}
 	r.mu.Unlock()
 
+	r.forwarder.AdoptCrashers(now, crashersFromWire(now, response.GetCrashers()))
+	if changed {
+		r.forwarder.Announced(now, usable)
+	}
 	newTable := r.adopt(response, host)
 	if table := r.Table(); table != nil && (changed || newTable) {
 		r.gate.Update(now, usable, table, r.settings.ShareWindow())
