--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -84,9 +84,9 @@
 	// sums of the other control hosts.
 	reports  map[string]report
 	siblings map[string]report
-	// leader and voters are as last logged.
+	// leader and voting are as last logged.
 	leader raft.Member
-	voters map[raft.Member]bool
+	voting map[raft.Member]bool
 }
 
 // crasherNews is a crasher with its time.
@@ -426,6 +426,17 @@
 	return v
 }
 
+// voters counts the voters, and tells whether this replica is one.
+func (c *control) voters() (count int, votes bool) {
+	for _, m := range c.replica.Status().Members() {
+		if m.Voter {
+			count++
+			votes = votes || m.Member == c.replica.Self()
+		}
+	}
+	return count, votes
+}
+
 // logQuorum logs a change of the leader and of the voters.
 func (c *control) logQuorum(status replica.Status) {
 	if leader := status.Leader(); leader != c.leader {
@@ -443,16 +454,16 @@
 		}
 	}
 	for m := range voters {
-		if !c.voters[m] {
+		if !c.voting[m] {
 			event.ReplicaCaughtUp.Log(c.log, event.Fields{"peer": m.Host, "replica": fmt.Sprintf("%016x", m.Replica)})
 		}
 	}
-	for m := range c.voters {
+	for m := range c.voting {
 		if !voters[m] {
 			event.ReplicaRemoved.Log(c.log, event.Fields{"peer": m.Host, "replica": fmt.Sprintf("%016x", m.Replica)})
 		}
 	}
-	c.voters = voters
+	c.voting = voters
 }
 
 // Announce takes what an endpoint says of itself.
@@ -500,12 +511,7 @@
 	ticker := time.NewTicker(growPoll)
 	defer ticker.Stop()
 	for {
-		voters := 0
-		for _, m := range c.replica.Status().Members() {
-			if m.Voter {
-				voters++
-			}
-		}
+		voters, _ := c.voters()
 		if voters >= repair.Target(c.settings.ToleratedHosts) {
 			return nil
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -167,6 +167,23 @@
 	return d.control.failed
 }
 
+// RoutingVersion returns the version that this router uses; 0 for none.
+func (d *Daemon) RoutingVersion() uint64 {
+	if d.router == nil || d.router.Table() == nil {
+		return 0
+	}
+	return d.router.Table().Version()
+}
+
+// Voters returns how many voters the quorum has, as far as this daemon's
+// replica knows, and whether it is one of them.
+func (d *Daemon) Voters() (count int, votes bool) {
+	if d.control == nil {
+		return 0, false
+	}
+	return d.control.voters()
+}
+
 // SetSeeds replaces the seeds after a change of the settings.
 func (d *Daemon) SetSeeds(seeds []string) {
 	event.SettingsReloaded.Log(d.log, event.Fields{"host": d.settings.Host, "seeds": seeds})
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,321 @@
+package site_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/settings"
+	"oleanderramp/internal/site"
+	"oleanderramp/platform"
+)
+
+// waitLimit bounds each wait for what must come about.
+const waitLimit = 20 * time.Second
+
+// host is one daemon of a test site.
+type host struct {
+	settings *settings.Site
+	daemon   *site.Daemon
+}
+
+// testSite is a site on addresses of the loopback network.
+type testSite struct {
+	c        *qt.C
+	folder   string
+	port     int
+	controls []*host
+	router   *host
+}
+
+func logger() log.Interface {
+	return &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+}
+
+// freePort returns a port that is free on the loopback addresses.
+func freePort(c *qt.C) int {
+	listener, err := net.Listen("tcp", "0.0.0.0:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+func newTestSite(c *qt.C, controls int) *testSite {
+	s := &testSite{c: c, folder: c.TempDir(), port: freePort(c)}
+	for i := range controls {
+		s.controls = append(s.controls, s.start(i, true))
+	}
+	s.router = &host{settings: s.settings(100, false)}
+	s.router.settings.Roles, s.router.settings.Listen = []settings.Role{settings.RoleRouter}, settings.SiteListen{
+		Callers: s.address(100, 1), Readiness: s.address(100, 2),
+	}
+	s.run(s.router)
+	c.Cleanup(func() {
+		for _, h := range append(s.controls, s.router) {
+			_ = h.daemon.Close()
+		}
+	})
+	return s
+}
+
+func ip(i int) string { return fmt.Sprintf("127.0.77.%d", i+1) }
+
+func (s *testSite) address(i, offset int) string { return fmt.Sprintf("%s:%d", ip(i), s.port+offset) }
+
+func (s *testSite) settings(i int, first bool) *settings.Site {
+	site := &settings.Site{
+		Host: fmt.Sprint("host-", i), Region: "r", Zone: "z", Zones: []settings.Zone{{Zone: "z", Region: "r"}},
+		Roles: []settings.Role{settings.RoleReplica}, Address: ip(i), PeerPorts: []int{s.port},
+		Listen: settings.SiteListen{Control: s.address(i, 1)}, FirstStart: first, ToleratedHosts: 1,
+		DataFolder: filepath.Join(s.folder, fmt.Sprint(i)),
+	}
+	for seed := range 3 {
+		site.Seeds = append(site.Seeds, s.address(seed, 1))
+	}
+	site.Defaults()
+	return site
+}
+
+func (s *testSite) run(h *host) {
+	var err error
+	h.daemon, err = site.New(h.settings, platform.Adapter{}, logger())
+	s.c.Assert(err, qt.IsNil)
+}
+
+func (s *testSite) start(i int, first bool) *host {
+	h := &host{settings: s.settings(i, first)}
+	s.c.Assert(os.MkdirAll(h.settings.DataFolder, 0o700), qt.IsNil)
+	s.run(h)
+	return h
+}
+
+// eventually waits until the condition holds.
+func (s *testSite) eventually(what string, holds func() bool) {
+	s.c.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	s.c.Fatalf("not within %v: %s", waitLimit, what)
+}
+
+// call sends one request to an address, and returns the status and the body;
+// status 0 means that no answer came.
+func call(method, address, path, host, body string, header map[string]string) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = host
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(text)
+}
+
+func order(version int, note string) string {
+	return fmt.Sprintf(`{"version":%d, "routes":[{"name":"r","host":"a.example","pathPrefix":"/x/","kind":"safe","timeoutMs":2000,`+
+		`"targetLatencyMs":500,"maxAttempts":2,"public":true,"service":"s"}],"services":[{"name":"s"}],"limits":{},"note":%q}`, version, note)
+}
+
+// replace sends an order to a control host until it is acknowledged.
+func (s *testSite) replace(i int, document string) {
+	s.c.Helper()
+	s.eventually("the order is acknowledged", func() bool {
+		status, _ := call("POST", s.address(i, 1), "/Config.Replace", "", document, nil)
+		return status == http.StatusOK
+	})
+}
+
+func (s *testSite) read(i int) (int, string) {
+	return call("GET", s.address(i, 1), "/Config.Read", "", "", nil)
+}
+
+// serves tells whether the router answers a request through an endpoint.
+func (s *testSite) serves() bool {
+	status, body := call("GET", s.address(100, 1), "/x/1", "a.example", "", map[string]string{"Oleanderramp-Request-Id": "id"})
+	return status == http.StatusOK && body == "answer"
+}
+
+func (s *testSite) announce(control int, id, address, state string, sequence int) int {
+	body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":4,"state":%q,"sequence":%d,"born":1}`, address, state, sequence)
+	status, _ := call("POST", s.address(control, 1), "/Instances.Heartbeat/"+id, "", body, nil)
+	return status
+}
+
+func TestSiteFindsItselfAndServes(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 4) // One of them is no seed.
+	status, _ := call("GET", s.address(100, 2), "/ready", "", "", nil)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	status, _ = s.read(3)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+
+	document := order(3, "as  it \t was sent")
+	s.replace(3, document)
+	for i := range s.controls {
+		status, body := s.read(i)
+		c.Check(status, qt.Equals, http.StatusOK)
+		c.Check(body, qt.Equals, document)
+	}
+	s.eventually("the router is ready", func() bool {
+		status, _ := call("GET", s.address(100, 2), "/ready", "", "", nil)
+		return status == http.StatusOK
+	})
+
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Oleanderramp-Request-Id", r.Header.Get("Oleanderramp-Request-Id"))
+		_, _ = io.WriteString(w, "answer")
+	}))
+	defer e.Close()
+	c.Check(s.announce(2, "e", e.Listener.Addr().String(), "ready", 1), qt.Equals, http.StatusOK)
+	s.eventually("the endpoint serves", s.serves)
+
+	// It leaves by word to another control host, and a late announcement does
+	// not bring it back.
+	c.Check(s.announce(0, "e", e.Listener.Addr().String(), "draining", 3), qt.Equals, http.StatusOK)
+	s.eventually("the endpoint gets nothing more", func() bool { return !s.serves() })
+	c.Check(s.announce(1, "e", e.Listener.Addr().String(), "ready", 2), qt.Equals, http.StatusOK)
+	c.Check(s.serves(), qt.IsFalse)
+}
+
+func TestOrders(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 3)
+	s.replace(0, order(5, "first"))
+	tests := []struct {
+		name, document string
+		status         int
+	}{
+		{"repeated", order(5, "first"), 200},
+		{"overtaken", order(4, "older"), 200},
+		{"other content under the same version", order(5, "second"), 200},
+		{"cut short", order(6, "x")[:80], 400},
+		{"no version", order(0, "x"), 400},
+		{"unknown service", strings.Replace(order(6, "x"), `"service":"s"`, `"service":"t"`, 1), 400},
+	}
+	for _, test := range tests {
+		status, body := call("POST", s.address(1, 1), "/Config.Replace", "", test.document, nil)
+		c.Check(status, qt.Equals, test.status, qt.Commentf("%s: %s", test.name, body))
+		_, got := s.read(2)
+		c.Check(got, qt.Equals, order(5, "first"), qt.Commentf(test.name))
+	}
+	s.replace(2, order(6, "next"))
+	_, got := s.read(0)
+	c.Check(got, qt.Equals, order(6, "next"))
+}
+
+// TestLostDisksAreReplaced loses one disk after the other, each right after a
+// repair, until none of the first is left.
+func TestLostDisksAreReplaced(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 3)
+	s.replace(0, order(1, "kept"))
+	for i := range s.controls {
+		c.Assert(s.controls[i].daemon.Close(), qt.IsNil)
+		c.Assert(os.RemoveAll(s.controls[i].settings.DataFolder), qt.IsNil)
+		s.controls[i] = s.start(i, false)
+		// An order is acknowledged only by a majority of three.
+		s.replace(i, order(2+i, "kept"))
+		s.eventually("the new disk votes in place of the lost one", func() bool {
+			voters, votes := s.controls[i].daemon.Voters()
+			return votes && voters == 3
+		})
+	}
+	status, got := s.read(0)
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(got, qt.Equals, order(4, "kept"))
+}
+
+// TestMinorityConfirmsNothing checks that one of three control hosts neither
+// acknowledges an order nor answers a read, and begins no quorum of its own
+// when its disk is lost besides.
+func TestMinorityConfirmsNothing(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 3)
+	s.replace(0, order(1, "kept"))
+	for _, h := range s.controls[1:] {
+		c.Assert(h.daemon.Close(), qt.IsNil)
+	}
+	status, _ := s.read(0)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+	status, _ = call("POST", s.address(0, 1), "/Config.Replace", "", order(2, "lost"), nil)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+
+	c.Assert(s.controls[0].daemon.Close(), qt.IsNil)
+	c.Assert(os.RemoveAll(s.controls[0].settings.DataFolder), qt.IsNil)
+	s.controls[0] = s.start(0, false)
+	status, _ = call("POST", s.address(0, 1), "/Config.Replace", "", order(3, "alone"), nil)
+	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+
+	for i := range s.controls[1:] {
+		s.controls[i+1] = s.start(i+1, false)
+	}
+	s.eventually("the others confirm again", func() bool {
+		status, got := s.read(0)
+		return status == http.StatusOK && got == order(1, "kept")
+	})
+}
+
+// TestRouterNeverGoesBack restarts all control hosts, and then the router, and
+// checks that no version older than the acknowledged one is in force again.
+func TestRouterNeverGoesBack(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 3)
+	s.replace(0, order(1, "old"))
+	s.replace(0, order(9, "new"))
+	s.eventually("the router has it", func() bool { return s.router.daemon.RoutingVersion() == 9 })
+	for i, h := range s.controls {
+		c.Assert(h.daemon.Close(), qt.IsNil)
+		s.controls[i] = nil
+	}
+	for i := range s.controls {
+		s.controls[i] = s.start(i, false)
+		c.Check(s.router.daemon.RoutingVersion(), qt.Equals, uint64(9))
+	}
+	c.Assert(s.router.daemon.Close(), qt.IsNil)
+	s.run(s.router)
+	s.eventually("the router has a table", func() bool { return s.router.daemon.RoutingVersion() != 0 })
+	c.Check(s.router.daemon.RoutingVersion(), qt.Equals, uint64(9))
+}
+
+func TestSettingsWithoutListener(t *testing.T) {
+	c := qt.New(t)
+	s := &testSite{c: c, folder: c.TempDir(), port: freePort(c)}
+	wrong := s.settings(0, false)
+	wrong.Listen.Control = "192.0.2.1:1"
+	_, err := site.New(wrong, platform.Adapter{}, logger())
+	c.Assert(err, qt.IsNotNil)
+	c.Check(errors.Is(err, os.ErrNotExist), qt.IsFalse)
+}
