--- a/cmd/oleanderramp/check.go
+++ b/cmd/oleanderramp/check.go
@@ -20,7 +20,7 @@
     oleanderramp check - check settings and bundle files
 
 SYNOPSIS
-    oleanderramp check [--kind settings|bundle] [--json] FILE...
+    oleanderramp check [--kind settings|site|bundle] [--json] FILE...
 
 DESCRIPTION
     Checks each FILE by itself and prints every finding with its place in the
@@ -32,9 +32,10 @@
     the data folder exist is not checked.
 
 FLAGS
-    --kind settings|bundle
+    --kind settings|site|bundle
         What the files are. Default: found from their fields, where one with
-        "client_accounts" or "services" is a bundle.
+        "client_accounts" or "services" is a bundle, and one with "seeds" or
+        "peer_ports" the settings of a site daemon.
 
 EXAMPLES
     oleanderramp check examples/targoprint/bundle.json
@@ -52,6 +53,7 @@
 
 const (
 	kindSettings documentKind = "settings"
+	kindSite     documentKind = "site"
 	kindBundle   documentKind = "bundle"
 )
 
@@ -77,8 +79,8 @@
 		return usagef("check: want a file, see \"oleanderramp help check\"")
 	}
 	kind := documentKind(c.String("kind"))
-	if kind != "" && kind != kindSettings && kind != kindBundle {
-		return usagef("check: --kind must be %s or %s, not %q", kindSettings, kindBundle, kind)
+	if kind != "" && kind != kindSettings && kind != kindSite && kind != kindBundle {
+		return usagef("check: --kind must be %s, %s or %s, not %q", kindSettings, kindSite, kindBundle, kind)
 	}
 	var reports []checkReport
 	var failed error
@@ -106,9 +108,12 @@
 	}
 	var advice finding.List
 	var err error
-	if kind == kindBundle {
+	switch kind {
+	case kindBundle:
 		_, err = bundle.Parse(document)
-	} else {
+	case kindSite:
+		_, err = settings.ParseSite(document)
+	default:
 		err = checkSettings(document, &advice)
 	}
 	report := checkReport{File: file, Kind: kind, Findings: []client.Finding{}, Advice: listed(advice.All())}
@@ -133,12 +138,17 @@
 	var fields struct {
 		ClientAccounts json.RawMessage `json:"client_accounts"`
 		Services       json.RawMessage `json:"services"`
+		Seeds          json.RawMessage `json:"seeds"`
+		PeerPorts      json.RawMessage `json:"peer_ports"`
 	}
 	// A document that is no JSON is settings with a finding at its top.
 	_ = json.Unmarshal(document, &fields)
 	if fields.ClientAccounts != nil || fields.Services != nil {
 		return kindBundle
 	}
+	if fields.Seeds != nil || fields.PeerPorts != nil {
+		return kindSite
+	}
 	return kindSettings
 }
 
--- a/cmd/oleanderramp/main.go
+++ b/cmd/oleanderramp/main.go
@@ -26,12 +26,14 @@
 
 COMMANDS
     serve       run a daemon
+    site        run a daemon of a site that finds its hosts by itself
     check       check a settings or bundle file and print every finding
     bundle      propose, sign off, accept and inspect configuration bundles
     endpoint    list, drain and undrain endpoints
     account     list client accounts with the service that they received
     fleet       show the daemons and the quorum
     replica     list, add and remove replicas of the quorum
+    trace       tell a request's story from the logs of several processes
     version     print the version
     help        show a manual page
 
@@ -100,13 +102,15 @@
 			&cli.BoolFlag{Name: "json"},
 		},
 		Commands: []*cli.Command{
-			serveCommand, siteCommand,
+			serveCommand,
+			siteCommand,
 			checkCommand(),
 			bundleCommand(),
 			endpointCommand(),
 			accountCommand(),
 			fleetCommand(),
 			replicaCommand(),
+			traceCommand(),
 			versionCommand(),
 			helpCommand(),
 		},
--- a/cmd/oleanderramp/serve.go
+++ b/cmd/oleanderramp/serve.go
@@ -198,7 +198,7 @@
 }
 
 // newLogger returns a logger for the settings.
-func newLogger(s settings.Log, w io.Writer) log.Interface {
+func newLogger(s settings.Log, w io.Writer) *log.Logger {
 	logger := &log.Logger{Level: log.MustParseLevel(s.Level)}
 	if s.Format == "text" {
 		logger.Handler = textlog.New(w)
--- a/cmd/oleanderramp/site.go
+++ b/cmd/oleanderramp/site.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/urfave/cli/v3"
 
 	"oleanderramp/internal/event"
@@ -84,8 +85,13 @@
 	}
 	ring := logring.New(c.Root().Writer)
 	defer ring.Close() //nolint:errcheck // There is nowhere to tell it.
-	l := newLogger(s.Log, ring)
-	ring.OnDrop(func(lines uint64) { event.LinesDropped.Log(l, event.Fields{"lines": lines}) })
+	logger := newLogger(s.Log, ring)
+	budget := logring.NewBudget(logger.Handler, s.MaxLogLines, time.Now)
+	logger.Handler = budget
+	l := logger.WithField("host", s.Host)
+	stop := make(chan struct{})
+	defer close(stop)
+	go reportOmitted(l, ring, budget, stop)
 	d, err := site.New(s, platform.Adapter{}, l)
 	if err != nil {
 		event.DaemonFailed.Log(l, event.Fields{"host": s.Host, "error": err.Error()})
@@ -96,6 +102,29 @@
 	})
 }
 
+// omittedPeriod is the time between two reports of log lines left out.
+const omittedPeriod = time.Second
+
+// reportOmitted logs which lines were left out, until stop is closed.
+func reportOmitted(l log.Interface, ring *logring.Ring, budget *logring.Budget, stop <-chan struct{}) {
+	ticker := time.NewTicker(omittedPeriod)
+	defer ticker.Stop()
+	before := uint64(0)
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		dropped := ring.Dropped()
+		lines, byEvent := budget.TakeOmitted()
+		if lines > 0 || dropped > before {
+			event.LinesDropped.Log(l, event.Fields{"over_budget": lines, "by_event": byEvent, "unread": dropped - before})
+		}
+		before = dropped
+	}
+}
+
 func readSite(path string) (*settings.Site, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- /dev/null
+++ b/cmd/oleanderramp/trace.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+const traceHelp = `NAME
+    oleanderramp trace - tell a request's story from the logs of several
+    processes
+
+SYNOPSIS
+    oleanderramp trace [--json] [--around TIME] REQUEST-ID [FILE...]
+
+DESCRIPTION
+    Reads the log lines of any number of processes, from FILEs or the standard
+    input, and prints those of one request, oldest first. With them come the
+    lines that tell what happened at that time to an endpoint that the request
+    was sent to, and to the routers that had it: an endpoint that crashed or
+    left, a routing table that came into force, a daemon that stopped.
+
+    What stands before the JSON of a line, such as the name of its host, is
+    passed over. Lines that are no JSON are left out.
+
+FLAGS
+    --around TIME
+        How long before and after the request such lines are shown.
+        Default: 2s.
+
+EXAMPLES
+    oleanderramp trace 9c41d07be2a35f68 router-1.log router-2.log
+    cat /var/log/oleanderramp/*.log | oleanderramp trace 9c41d07be2a35f68
+
+EXIT CODES
+    0   success
+    1   a file can't be read, or no line tells of the request
+    2   wrong usage
+`
+
+// defaultAround is how long before and after a request its surroundings are
+// shown.
+const defaultAround = 2 * time.Second
+
+// maxLineBytes bounds a log line.
+const maxLineBytes = 1 << 20
+
+func traceCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "trace",
+		Description: traceHelp,
+		Flags:       []cli.Flag{&cli.DurationFlag{Name: "around", Value: defaultAround}},
+		Action:      trace,
+	}
+}
+
+// logLine is one line of a daemon's log.
+type logLine struct {
+	Time    time.Time      `json:"timestamp"`
+	Level   string         `json:"level"`
+	Message string         `json:"message"`
+	Fields  map[string]any `json:"fields"`
+}
+
+func (l *logLine) text(field string) string {
+	text, _ := l.Fields[field].(string) // Other kinds of value name nothing.
+	return text
+}
+
+func trace(_ context.Context, c *cli.Command) error {
+	id := c.Args().First()
+	if id == "" {
+		return usagef("trace: want a request id, see \"oleanderramp help trace\"")
+	}
+	lines, err := readLines(c.Args().Tail())
+	if err != nil {
+		return err
+	}
+	story := tell(lines, id, c.Duration("around"))
+	if len(story) == 0 {
+		return fmt.Errorf("no line tells of request %s", id)
+	}
+	if c.Bool("json") {
+		return printJSON(c.Root().Writer, story)
+	}
+	for _, l := range story {
+		printLine(c.Root().Writer, l, story[0].Time)
+	}
+	return nil
+}
+
+// readLines reads the files, or the standard input when there are none.
+func readLines(files []string) ([]logLine, error) {
+	if len(files) == 0 {
+		return scanLines(os.Stdin)
+	}
+	var lines []logLine
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, fmt.Errorf("read log: %w", err)
+		}
+		more, err := scanLines(file)
+		_ = file.Close() // It was only read.
+		if err != nil {
+			return nil, fmt.Errorf("read log %s: %w", name, err)
+		}
+		lines = append(lines, more...)
+	}
+	return lines, nil
+}
+
+func scanLines(r io.Reader) ([]logLine, error) {
+	var lines []logLine
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		at := bytes.IndexByte(scanner.Bytes(), '{')
+		if at < 0 {
+			continue
+		}
+		var l logLine
+		if json.Unmarshal(scanner.Bytes()[at:], &l) == nil && !l.Time.IsZero() {
+			lines = append(lines, l)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+// tell returns the lines of the request and of its surroundings, oldest first.
+func tell(lines []logLine, id string, around time.Duration) []logLine {
+	var own []logLine
+	endpoints, hosts := map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.text("request") != id {
+			continue
+		}
+		own = append(own, l)
+		endpoints[l.text("endpoint")], hosts[l.text("host")] = true, true
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	delete(endpoints, "")
+	delete(hosts, "")
+	byTime := func(a, b logLine) int { return a.Time.Compare(b.Time) }
+	slices.SortStableFunc(own, byTime)
+	first, last := own[0].Time.Add(-around), own[len(own)-1].Time.Add(around)
+	for _, l := range lines {
+		if l.text("request") != "" || l.Time.Before(first) || l.Time.After(last) {
+			continue
+		}
+		if endpoints[l.text("endpoint")] || l.text("endpoint") == "" && hosts[l.text("host")] {
+			own = append(own, l)
+		}
+	}
+	slices.SortStableFunc(own, byTime)
+	return own
+}
+
+// printLine prints one line: its time after the first, its host, what
+// happened, and the fields.
+func printLine(w io.Writer, l logLine, first time.Time) {
+	var fields []string
+	for _, name := range slices.Sorted(maps.Keys(l.Fields)) {
+		if name != "host" && name != "request" && name != "event" {
+			fields = append(fields, fmt.Sprintf("%s=%v", name, l.Fields[name]))
+		}
+	}
+	fmt.Fprintf(w, "%s %+9.3fs %s %s [%v] %s\n", l.Time.UTC().Format("15:04:05.000"), l.Time.Sub(first).Seconds(),
+		l.text("host"), l.Message, l.Fields["event"], strings.Join(fields, " "))
+}
--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -6,7 +6,6 @@
 	"io"
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
 const (
@@ -14,15 +13,12 @@
 	capacity = 4096
 	// batchBytes bounds what is written at once.
 	batchBytes = 32 << 10
-	// dropReport is the time between two reports of dropped lines.
-	dropReport = time.Second
 )
 
 // Ring is a writer of log lines. It is safe for concurrent use.
 type Ring struct {
 	lines   chan []byte
 	dropped atomic.Uint64
-	onDrop  atomic.Pointer[func(uint64)]
 	stop    chan struct{}
 	once    sync.Once
 	done    sync.WaitGroup
@@ -32,14 +28,10 @@
 func New(w io.Writer) *Ring {
 	r := &Ring{lines: make(chan []byte, capacity), stop: make(chan struct{})}
 	r.done.Go(func() {
-		ticker := time.NewTicker(dropReport)
-		defer ticker.Stop()
 		for {
 			select {
 			case line := <-r.lines:
 				r.write(w, line)
-			case <-ticker.C:
-				r.report()
 			case <-r.stop:
 				r.finish(w)
 				return
@@ -49,9 +41,8 @@
 	return r
 }
 
-// OnDrop sets what is called, once a second at most, with the number of lines
-// that were dropped.
-func (r *Ring) OnDrop(report func(lines uint64)) { r.onDrop.Store(&report) }
+// Dropped returns how many lines were dropped so far.
+func (r *Ring) Dropped() uint64 { return r.dropped.Load() }
 
 // Write queues one line. It never fails and never blocks.
 func (r *Ring) Write(p []byte) (int, error) {
@@ -79,17 +70,6 @@
 	_, _ = w.Write(line) // Nobody is left to tell of a log that can't be written.
 }
 
-// report tells of the dropped lines.
-func (r *Ring) report() {
-	report := r.onDrop.Load()
-	if report == nil {
-		return
-	}
-	if lines := r.dropped.Swap(0); lines > 0 {
-		(*report)(lines)
-	}
-}
-
 // finish writes what waits.
 func (r *Ring) finish(w io.Writer) {
 	for {
--- /dev/null
+++ b/internal/logring/logring_test.go
@@ -0,0 +1,71 @@
+package logring_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/logring"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.got.Write(p)
+}
+
+// TestBlockedReaderDelaysNobody writes more lines than the ring holds while
+// nothing is read.
+func TestBlockedReaderDelaysNobody(t *testing.T) {
+	c := qt.New(t)
+	w := &blockedWriter{release: make(chan struct{})}
+	r := logring.New(w)
+	const lines = 10_000
+	for range lines {
+		n, err := r.Write([]byte("line\n"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(n, qt.Equals, 5)
+	}
+	close(w.release)
+	c.Assert(r.Close(), qt.IsNil)
+	written := strings.Count(w.got.String(), "line\n")
+	c.Check(written+int(r.Dropped()), qt.Equals, lines)
+	c.Check(written > 0 && written < lines, qt.IsTrue, qt.Commentf("%d", written))
+}
+
+func TestBudget(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(100, 0)
+	handler := memory.New()
+	b := logring.NewBudget(handler, 8, func() time.Time { return now })
+	l := &log.Logger{Handler: b, Level: log.InfoLevel}
+	for range 10 {
+		l.WithField("event", 201).Info("served")
+	}
+	for range 3 {
+		l.WithField("event", 203).Warn("failed")
+	}
+	c.Check(handler.Entries, qt.HasLen, 8) // 6 served, 2 failed.
+	lines, byEvent := b.TakeOmitted()
+	c.Check(lines, qt.Equals, 5)
+	c.Check(byEvent, qt.Equals, "201:4 203:1")
+	now = now.Add(time.Second)
+	l.WithField("event", 201).Info("served")
+	c.Check(handler.Entries, qt.HasLen, 9)
+	lines, _ = b.TakeOmitted()
+	c.Check(lines, qt.Equals, 0)
+}
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -44,6 +44,8 @@
 	ShareWindowS float64     `json:"share_window_s"`
 	Retries      SiteRetries `json:"retries"`
 	Log          Log         `json:"log"`
+	// MaxLogLines bounds the log lines of a second.
+	MaxLogLines int `json:"max_log_lines"`
 }
 
 // Zone tells the region of an availability zone.
@@ -74,6 +76,7 @@
 func (s *Site) Defaults() {
 	setDefault(&s.ShutdownS, 10)
 	setDefault(&s.MaxConnections, 512)
+	setDefault(&s.MaxLogLines, 1000)
 	setDefault(&s.ShareWindowS, 4)
 	setDefault(&s.Retries.Ratio, 0.2)
 	setDefault(&s.Retries.Slack, 50)
@@ -185,6 +188,9 @@
 	if s.MaxConnections < 0 {
 		list.Addf("max_connections", "must not be negative")
 	}
+	if s.MaxLogLines < 0 {
+		list.Addf("max_log_lines", "must not be negative")
+	}
 	if s.ShutdownS <= 0 {
 		list.Addf("shutdown_s", "must be more than 0")
 	}
