Turn requests away before a router falls behind

At most three waiting requests are tried in vain now, a router whose timers are late turns requests away as not run (another router takes them), and requests under way and unused connections are bounded by the descriptors.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -56,15 +56,15 @@
 	}
 	placed, refused := f.cfg.Gate.place(ctx, w)
 	f.cfg.Metrics.Waited(t.service, time.Since(now))
-	fields := t.logFields()
-	fields["waited_ms"], fields["within_share"] = time.Since(now).Milliseconds(), placed.within
-	fields["share_tokens"], fields["asked_tokens"], fields["admitted_tokens"] =
-		int(placed.share.Level), int(placed.share.Asked), int(placed.share.Admitted)
+	t.placing = event.Fields{
+		"waited_ms": time.Since(now).Milliseconds(), "within_share": placed.within, "share_tokens": int(placed.share.Level),
+		"asked_tokens": int(placed.share.Asked), "admitted_tokens": int(placed.share.Admitted),
+	}
 	if refused != nil {
-		fields["reason"] = string(refused.code)
-		event.GrantRefused.Log(f.cfg.Log, fields)
 		return placed, refused
 	}
+	fields := t.logFields()
+	t.placing = nil
 	fields["endpoint"], fields["predicted_ms"] = placed.choice.Endpoint.ID, placed.choice.Predicted.Milliseconds()
 	fields["running"], fields["prefill_tokens"], fields["uncached_tokens"] =
 		placed.choice.Load.Running, placed.choice.Load.Prefill, placed.choice.Uncached
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -99,6 +99,7 @@
 // The codes.
 const (
 	CodeDraining      Code = "draining"
+	CodeOverloaded    Code = "overloaded"
 	CodeNoTable       Code = "no_routing_table"
 	CodeNoRoute       Code = "no_route"
 	CodeUnknownKey    Code = "unknown_key"
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -118,8 +118,8 @@
 	client := endpoint.NewClient(endpoint.ClientConfig{Headers: adapter.Headers()})
 	s.forwarder = edge.New(edge.Config{
 		Codec: adapter, Endpoints: client, Tables: s.tables, Gate: gate, Metrics: noMetrics{},
-		Crowded: func() bool { return false },
-		Log:     &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, MaxAnswerBytes: 1 << 20,
+		Crowded: func() bool { return false }, Lag: func() time.Duration { return 0 },
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, MaxAnswerBytes: 1 << 20,
 	})
 	s.forwarder.SetRetryBudget(1, 100)
 	s.server = httptest.NewServer(s.forwarder)
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 	// Crowded tells whether too many callers' connections are open; those of
 	// refused requests are closed then.
 	Crowded func() bool
+	// Lag tells how late this daemon's own timers are.
+	Lag func() time.Duration
+	// MaxActive bounds the requests under way; 0 for no bound.
+	MaxActive int
 	// MaxAnswerBytes bounds an answer.
 	MaxAnswerBytes int64
 }
@@ -105,17 +110,44 @@
 	mayHaveRun bool
 	// answer is what the caller has of it.
 	answer *answer
+	// placing tells what the last attempt to place it was decided by.
+	placing event.Fields
 }
 
-// drainingRetryAfter is when a caller that was refused by a daemon which is
-// shutting down may come back: another daemon takes the request.
-const drainingRetryAfter = 50 * time.Millisecond
+const (
+	// drainingRetryAfter is when a caller may come back that was refused by a
+	// daemon which is shutting down or has too much to do: another daemon
+	// takes the request.
+	drainingRetryAfter = 50 * time.Millisecond
+	// lagFrom is the lag from which requests are turned away, and lagAll that
+	// at which all are.
+	lagFrom = 40 * time.Millisecond
+	lagAll  = 200 * time.Millisecond
+)
+
+// overloaded tells whether to turn a request away since this daemon could not
+// keep up.
+func (f *Forwarder) overloaded() bool {
+	if f.cfg.MaxActive > 0 && f.Active() > f.cfg.MaxActive {
+		return true
+	}
+	return shed(f.cfg.Lag(), rand.Float64())
+}
+
+// shed tells whether to turn a request away at a lag. random is uniform in
+// [0, 1).
+func shed(lag time.Duration, random float64) bool {
+	return float64(lag-lagFrom) > random*float64(lagAll-lagFrom)
+}
 
 // resolve finds the route and the account of the request.
 func (f *Forwarder) resolve(request *Request) (*task, *failure) {
 	if f.refusing.Load() {
 		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
 	}
+	if f.overloaded() {
+		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: drainingRetryAfter, message: "this daemon has too much to do"}
+	}
 	table := f.cfg.Tables.Table()
 	if table == nil {
 		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeNoTable, retryAfter: time.Second, message: "no routing table is known yet"}
@@ -158,6 +190,7 @@
 	if t.route != nil {
 		fields["route"], fields["service"], fields["account"] = t.route.Name, t.service, t.account
 	}
+	maps.Copy(fields, t.placing)
 	return fields
 }
 
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -30,6 +30,8 @@
 	// refused for want of room may come back: another router may have room, or
 	// the account a share again, in time for the objective.
 	againPart = 0.25
+	// maxTries bounds the waiting requests that are tried in vain at once.
+	maxTries = 3
 	// leastRetryAfter is the least time to come back after.
 	leastRetryAfter = 50 * time.Millisecond
 )
@@ -200,14 +202,21 @@
 	}
 }
 
-// placeWaiting places what waits and fits by now.
+// placeWaiting places what waits and fits by now. It stops at a few that don't
+// fit: those behind them rarely do.
 func (g *Gate) placeWaiting(now time.Time) {
+	failed := 0
 	g.waiting = slices.DeleteFunc(g.waiting, func(w *waiter) bool {
+		if failed >= maxTries {
+			return false
+		}
 		p, ok := g.try(now, w.wish, w.within)
-		if ok {
-			w.placed <- p
+		if !ok {
+			failed++
+			return false
 		}
-		return ok
+		w.placed <- p
+		return true
 	})
 }
 
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -37,6 +37,8 @@
 	// before unused ones are closed early, and those of refused callers at
 	// once.
 	MaxConnections int `json:"max_connections"`
+	// MaxDescriptors is how many descriptors the process may have open.
+	MaxDescriptors int `json:"max_descriptors"`
 	// ShutdownS is how long a daemon may take to stop, in seconds.
 	ShutdownS float64 `json:"shutdown_s"`
 	// ShareWindowS is the window over which client accounts have their shares,
@@ -76,6 +78,7 @@
 func (s *Site) Defaults() {
 	setDefault(&s.ShutdownS, 10)
 	setDefault(&s.MaxConnections, 512)
+	setDefault(&s.MaxDescriptors, 4096)
 	setDefault(&s.MaxLogLines, 1000)
 	setDefault(&s.ShareWindowS, 4)
 	setDefault(&s.Retries.Ratio, 0.2)
@@ -188,6 +191,9 @@
 	if s.MaxConnections < 0 {
 		list.Addf("max_connections", "must not be negative")
 	}
+	if s.MaxDescriptors < 0 {
+		list.Addf("max_descriptors", "must not be negative")
+	}
 	if s.MaxLogLines < 0 {
 		list.Addf("max_log_lines", "must not be negative")
 	}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -39,6 +39,12 @@
 	// endpointKeepAlive is how long a connection to an endpoint is silent
 	// before it is probed.
 	endpointKeepAlive = time.Second
+	// reservedDescriptors are kept for all but requests, which need so many
+	// each: one to the caller, one to the endpoint, and one that is unused.
+	reservedDescriptors   = 800
+	descriptorsPerRequest = 3
+	// maxIdleConnections bounds the unused connections to one endpoint.
+	maxIdleConnections = 8
 	// maxAnswerBytes bounds an endpoint's answer.
 	maxAnswerBytes = 64 << 20
 )
@@ -57,6 +63,7 @@
 	open     *connections
 	draining atomic.Bool
 	table    atomic.Pointer[routing.Table]
+	lag      lagMeter
 	stop     context.CancelFunc
 	done     sync.WaitGroup
 
@@ -86,7 +93,7 @@
 		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
 		marks: make(map[string]mark),
 		client: endpoint.NewClient(endpoint.ClientConfig{
-			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdle, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
+			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdle, MaxIdle: maxIdleConnections, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
 		}),
 	}
 	r.open = newConnections(d.settings.MaxConnections, func() time.Duration {
@@ -96,7 +103,8 @@
 		return 0
 	})
 	r.forwarder = edge.New(edge.Config{
-		Crowded: r.open.crowded, Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
+		Crowded: r.open.crowded, Lag: r.lag.value, MaxActive: max(d.settings.MaxDescriptors-reservedDescriptors, 0) / descriptorsPerRequest,
+		Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
 		Metrics: telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
 	})
 	r.setBudget()
@@ -106,6 +114,7 @@
 		}
 		return 0
 	})
+	r.done.Go(func() { r.lag.run(ctx) })
 	r.done.Go(func() {
 		r.findTable(ctx)
 		r.every(ctx, primaryPeriod, r.syncPrimary)
