Let control hosts take up the endpoints they knew before a restart

Cause: after a loss of power of all machines the directory filled only with the next announcements, 1.2 s later.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -61,6 +61,8 @@
 	AnswerTruncated       = define(410, log.WarnLevel, "answer truncated by endpoint")
 	AnswerMismatched      = define(411, log.ErrorLevel, "answer of another request")
 	AnnouncementBad       = define(412, log.WarnLevel, "announcement refused")
+	EndpointsRestored     = define(414, log.InfoLevel, "saved endpoints taken up")
+	EndpointsUnsaved      = define(415, log.WarnLevel, "endpoints not saved or read")
 	QuarantineUnpublished = define(413, log.WarnLevel, "quarantine not published")
 )
 
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -132,11 +132,13 @@
 	if err := c.startReplica(); err != nil {
 		return nil, errors.Join(err, c.replicator.Close())
 	}
+	c.restoreEndpoints()
 	c.host = &quorumHost{statehost.New(c.replica, c.store)}
 	c.quorum = peer.NewFoundQuorum(d.dialer, d.settings.PeerAddress(), c.others, c.host)
 	c.done.Go(func() { c.watchReplica() })
 	c.done.Go(func() { c.every(ctx, siblingPeriod, c.callSiblings) })
 	c.done.Go(func() { c.every(ctx, repairPeriod, c.repair) })
+	c.done.Go(func() { c.every(ctx, savePeriod, c.saver()) })
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/site/endpointsfile.go
@@ -0,0 +1,120 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"oleanderramp/internal/directory"
+	"oleanderramp/internal/event"
+	"oleanderramp/internal/wire"
+)
+
+const (
+	// endpointsName is the file in the data folder that holds the endpoints.
+	endpointsName = "endpoints"
+	// savePeriod is the time between two writes of the file.
+	savePeriod = time.Second
+	// savedHolds is how long a saved endpoint is taken to be there yet.
+	savedHolds = 10 * time.Second
+)
+
+// saveEndpoints writes the endpoints, such that either the former file or the
+// new one survives a loss of power.
+func saveEndpoints(folder string, now time.Time, entries []directory.Entry) error {
+	data, err := proto.Marshal(&wire.SavedEndpoints{SavedUnixMs: now.UnixMilli(), Endpoints: entriesToWire(now, entries)})
+	if err != nil {
+		return fmt.Errorf("save endpoints: %w", err)
+	}
+	path := filepath.Join(folder, endpointsName)
+	temporary := path + ".tmp"
+	file, err := os.Create(temporary)
+	if err != nil {
+		return fmt.Errorf("save endpoints: %w", err)
+	}
+	_, err = file.Write(data)
+	if err = errors.Join(err, file.Sync(), file.Close()); err != nil {
+		return fmt.Errorf("save endpoints: %w", err)
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return fmt.Errorf("save endpoints: %w", err)
+	}
+	return syncFolder(folder)
+}
+
+func syncFolder(folder string) error {
+	dir, err := os.Open(folder)
+	if err != nil {
+		return fmt.Errorf("save endpoints: %w", err)
+	}
+	if err := errors.Join(dir.Sync(), dir.Close()); err != nil {
+		return fmt.Errorf("save endpoints: %w", err)
+	}
+	return nil
+}
+
+// loadEndpoints reads what was saved of late; nothing when there is no file.
+func loadEndpoints(folder string, now time.Time) ([]directory.Entry, error) {
+	data, err := os.ReadFile(filepath.Join(folder, endpointsName))
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	var saved wire.SavedEndpoints
+	if err == nil {
+		err = proto.Unmarshal(data, &saved)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read saved endpoints: %w", err)
+	}
+	savedAt := time.UnixMilli(saved.GetSavedUnixMs())
+	if age := now.Sub(savedAt); age < 0 || age >= savedHolds {
+		return nil, nil
+	}
+	var entries []directory.Entry
+	for _, e := range saved.GetEndpoints() {
+		entry := entryFromWire(savedAt, e)
+		if now.Sub(entry.Heard) < savedHolds {
+			// A later announcement of the same start must be news.
+			entries = append(entries, entry)
+		}
+	}
+	return entries, nil
+}
+
+// restoreEndpoints takes up the directory that was saved before a restart.
+func (c *control) restoreEndpoints() {
+	entries, err := loadEndpoints(c.settings.DataFolder, time.Now())
+	if err != nil {
+		event.EndpointsUnsaved.Log(c.log, event.Fields{"error": err.Error()})
+		return
+	}
+	for _, e := range entries {
+		c.directory.Merge(e)
+	}
+	event.EndpointsRestored.Log(c.log, event.Fields{"endpoints": len(entries)})
+}
+
+// saver returns a function that saves the directory if it has changed.
+func (c *control) saver() func(context.Context) {
+	saved := uint64(0)
+	return func(context.Context) {
+		now := time.Now()
+		c.mu.Lock()
+		revision, entries := c.directory.Revision(), c.directory.Since(0)
+		c.mu.Unlock()
+		if revision == saved {
+			return
+		}
+		if err := saveEndpoints(c.settings.DataFolder, now, entries); err != nil {
+			event.EndpointsUnsaved.Log(c.log, event.Fields{"error": err.Error()})
+			return
+		}
+		saved = revision
+	}
+}
--- /dev/null
+++ b/internal/site/endpointsfile_test.go
@@ -0,0 +1,38 @@
+package site
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/directory"
+)
+
+func TestEndpointsSurviveARestart(t *testing.T) {
+	c := qt.New(t)
+	folder := c.TempDir()
+	now := time.UnixMilli(1_700_000_000_000)
+	got, err := loadEndpoints(folder, now)
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.HasLen, 0)
+
+	entries := []directory.Entry{
+		{ID: "a", Service: "s", Address: "1.2.3.4:5", Zone: "z", Region: "r", Born: now.Add(-time.Hour), Sequence: 3, Slots: 4, Heard: now.Add(-time.Second)},
+		{ID: "b", Service: "s", Address: "1.2.3.4:6", Leaving: true, Sequence: 1, Heard: now},
+		{ID: "silent", Service: "s", Address: "1.2.3.4:7", Sequence: 1, Heard: now.Add(-9 * time.Second)},
+	}
+	c.Assert(saveEndpoints(folder, now, entries), qt.IsNil)
+	got, err = loadEndpoints(folder, now.Add(2*time.Second))
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.DeepEquals, entries[:2])
+	got, err = loadEndpoints(folder, now.Add(10*time.Second))
+	c.Assert(err, qt.IsNil)
+	c.Check(got, qt.HasLen, 0)
+
+	c.Assert(os.WriteFile(filepath.Join(folder, endpointsName), []byte{0xff}, 0o600), qt.IsNil)
+	_, err = loadEndpoints(folder, now)
+	c.Check(err, qt.IsNotNil)
+}
