--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -119,6 +119,8 @@
 	// daemon which is shutting down or has too much to do: another daemon
 	// takes the request.
 	drainingRetryAfter = 50 * time.Millisecond
+	// startingRetryAfter is the same for a daemon without a routing table.
+	startingRetryAfter = 300 * time.Millisecond
 	// lagFrom is the lag from which requests are turned away, and lagAll that
 	// at which all are.
 	lagFrom = 40 * time.Millisecond
@@ -150,7 +152,7 @@
 	}
 	table := f.cfg.Tables.Table()
 	if table == nil {
-		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeNoTable, retryAfter: time.Second, message: "no routing table is known yet"}
+		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeNoTable, retryAfter: startingRetryAfter, message: "no routing table is known yet"}
 	}
 	t := &task{request: request, version: table.Version()}
 	t.route = table.Match(request.Host, request.Path)
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -27,8 +27,11 @@
 	primaryPeriod = 100 * time.Millisecond
 	// othersPeriod is the time between two calls to the others, by turns.
 	othersPeriod = 250 * time.Millisecond
-	// exchangeTimeout bounds one call.
+	// exchangeTimeout bounds one call, findTimeout one of a router that has no
+	// routing table yet: a host that is only starting does not answer, and a
+	// new try does better than a long wait.
 	exchangeTimeout = 600 * time.Millisecond
+	findTimeout     = 150 * time.Millisecond
 	// budgetPart is the part of the fleet's retry budget that is used: windows
 	// slide, and routers come and go.
 	budgetPart = 0.5
@@ -175,7 +178,7 @@
 		r.mu.Unlock()
 		var calls sync.WaitGroup
 		for _, host := range targets {
-			calls.Go(func() { r.exchange(ctx, host, false) })
+			calls.Go(func() { r.exchange(ctx, host, false, findTimeout) })
 		}
 		calls.Wait()
 		select {
@@ -189,7 +192,7 @@
 // syncPrimary calls the control host that gets this router's load.
 func (r *router) syncPrimary(ctx context.Context) {
 	if host := r.choosePrimary(time.Now()); host != "" {
-		r.exchange(ctx, host, true)
+		r.exchange(ctx, host, true, exchangeTimeout)
 	}
 }
 
@@ -234,12 +237,12 @@
 			return
 		}
 		turn++
-		r.exchange(ctx, targets[turn%len(targets)], false)
+		r.exchange(ctx, targets[turn%len(targets)], false, exchangeTimeout)
 	}
 }
 
 // exchange calls one control host and takes in what it knows.
-func (r *router) exchange(ctx context.Context, host string, primary bool) {
+func (r *router) exchange(ctx context.Context, host string, primary bool, timeout time.Duration) {
 	request := &wire.SyncRequest{Sender: r.self}
 	if primary {
 		now := time.Now()
@@ -254,7 +257,7 @@
 	at := r.marks[host]
 	r.mu.Unlock()
 	request.DirectoryEpoch, request.DirectoryRevision, request.CacheRevision = at.epoch, at.revision, at.cache
-	response, err := peer.Exchange(ctx, r.dialer, host, exchangeTimeout, request)
+	response, err := peer.Exchange(ctx, r.dialer, host, timeout, request)
 	if err != nil {
 		r.lost(ctx, host, err)
 		return
