Spend less on a request that is refused

The digest of a request is made only while any is suspected, a body is read into room of its length, shares are totalled 50 times a second and not for each request, and the log is bounded to 400 lines a second.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -93,7 +93,7 @@
 	p.ticket.end(time.Now(), outcomeOf(callErr))
 	switch callErr.Kind {
 	case endpoint.ConnectionLost, endpoint.Truncated:
-		f.crashes.broke(time.Now(), p.choice.Endpoint, t.digest)
+		f.crashes.broke(time.Now(), p.choice.Endpoint, t.digest())
 	case endpoint.DialFailed:
 		f.crashes.unreachable(time.Now(), p.choice.Endpoint.ID)
 	}
--- /dev/null
+++ b/internal/edge/bench_test.go
@@ -0,0 +1,55 @@
+package edge_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// benchmarkBody is the size of a long prompt.
+const benchmarkBody = 12 << 10
+
+func benchmarkCalls(b *testing.B, s *site, path, key string, want int) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	body := strings.Repeat("x", benchmarkBody)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		request, err := http.NewRequest(http.MethodPost, s.server.URL+path, strings.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.Host = "a.example"
+		request.Header.Set("Oleanderramp-Request-Id", fmt.Sprint("id-", i))
+		request.Header.Set("Oleanderramp-Key", key)
+		response, err := client.Do(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != want {
+			b.Fatalf("status %d, want %d", response.StatusCode, want)
+		}
+	}
+}
+
+// BenchmarkStream forwards a request that is answered by 45 events.
+func BenchmarkStream(b *testing.B) {
+	c := qt.New(b)
+	s := newSite(c, newEndpoint(c, events(1, 45, true)))
+	s.allowBody(c, 2*benchmarkBody)
+	benchmarkCalls(b, s, "/stream/", "secret", http.StatusOK)
+}
+
+// BenchmarkRefusal refuses a request for want of an endpoint.
+func BenchmarkRefusal(b *testing.B) {
+	c := qt.New(b)
+	s := newSite(c)
+	s.allowBody(c, 2*benchmarkBody)
+	benchmarkCalls(b, s, "/empty/", "", http.StatusServiceUnavailable)
+}
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -62,18 +62,24 @@
 	}
 }
 
-// verdict tells how the request is to be treated.
-func (c *crashes) verdict(now time.Time, digest quarantine.Digest) quarantine.Verdict {
+// verdict tells how the request is to be treated. Its digest is asked for only
+// while any request is suspected.
+func (c *crashes) verdict(now time.Time, digest func() quarantine.Digest) quarantine.Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.Mark(now, digest)
+	if c.table.Len() == 0 {
+		return quarantine.Verdict{}
+	}
+	return c.table.Mark(now, digest())
 }
 
 // answered clears a suspect that got its whole answer.
-func (c *crashes) answered(now time.Time, digest quarantine.Digest) {
+func (c *crashes) answered(now time.Time, digest func() quarantine.Digest) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.Cleared(now, digest)
+	if c.table.Len() > 0 {
+		c.table.Cleared(now, digest())
+	}
 }
 
 // broke records that the connection broke on which the endpoint ran the
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -22,6 +22,10 @@
 
 func digest(name string) quarantine.Digest { return quarantine.NewDigest("", "POST", name, nil) }
 
+func (c *crashes) of(now time.Time, name string) quarantine.Verdict {
+	return c.verdict(now, func() quarantine.Digest { return digest(name) })
+}
+
 func entry(id string, born float64) directory.Entry {
 	return directory.Entry{ID: id, Address: id + ":1", Born: at(born)}
 }
@@ -31,10 +35,10 @@
 	one, two := newTestCrashes(), newTestCrashes()
 	one.broke(at(1), entry("a", 0), digest("poison"))
 	one.broke(at(1), entry("a", 0), digest("companion"))
-	c.Check(one.verdict(at(1), digest("poison")).Status, qt.Equals, quarantine.Clear)
+	c.Check(one.of(at(1), "poison").Status, qt.Equals, quarantine.Clear)
 	one.unreachable(at(1.1), "a")
-	c.Check(one.verdict(at(1.1), digest("poison")).Status, qt.Equals, quarantine.Suspect)
-	one.answered(at(2), digest("companion"))
+	c.Check(one.of(at(1.1), "poison").Status, qt.Equals, quarantine.Suspect)
+	one.answered(at(2), func() quarantine.Digest { return digest("companion") })
 
 	// At another router it crashes the second endpoint, which shows by its
 	// new start.
@@ -42,14 +46,14 @@
 	two.broke(at(3), entry("b", 0), digest("poison"))
 	two.broke(at(3), entry("b", 0), digest("other"))
 	two.update(at(5), []directory.Entry{entry("a", 2), entry("b", 4)})
-	verdict := two.verdict(at(5), digest("poison"))
+	verdict := two.of(at(5), "poison")
 	c.Check(verdict.Status, qt.Equals, quarantine.Quarantined)
 	c.Check(verdict.RetryAfter, qt.Equals, quarantineTime)
-	c.Check(two.verdict(at(5), digest("other")).Status, qt.Equals, quarantine.Suspect)
+	c.Check(two.of(at(5), "other").Status, qt.Equals, quarantine.Suspect)
 
 	one.adopt(at(5.1), two.recent(at(5.1)))
-	c.Check(one.verdict(at(5.1), digest("poison")).Status, qt.Equals, quarantine.Quarantined)
-	c.Check(one.verdict(at(5.1), digest("companion")).Status, qt.Equals, quarantine.Clear)
+	c.Check(one.of(at(5.1), "poison").Status, qt.Equals, quarantine.Quarantined)
+	c.Check(one.of(at(5.1), "companion").Status, qt.Equals, quarantine.Clear)
 	c.Check(two.recent(at(9)), qt.HasLen, 0)
 }
 
@@ -62,5 +66,5 @@
 	x.update(at(2), []directory.Entry{entry("a", 0)})
 	x.update(at(12), []directory.Entry{entry("a", 0)})
 	x.unreachable(at(13), "a")
-	c.Check(x.verdict(at(13), digest("d")).Status, qt.Equals, quarantine.Clear)
+	c.Check(x.of(at(13), "d").Status, qt.Equals, quarantine.Clear)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -130,6 +130,15 @@
 	return s
 }
 
+// allowBody raises the bound of a request's body.
+func (s *site) allowBody(c *qt.C, bytes int64) {
+	doc := document()
+	doc.Limits.MaxBodyBytes = bytes
+	table, err := routing.New(doc)
+	c.Assert(err, qt.IsNil)
+	s.tables.table.Store(table)
+}
+
 // ask sends one request and returns the status, the header and the body; the
 // error is that of reading the body.
 func (s *site) ask(c *qt.C, method, target, body string, header map[string]string) (*http.Response, string, error) {
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -97,8 +97,6 @@
 	account string
 	// version is that of the routing table that allowed the request.
 	version uint64
-	// digest identifies the request's content.
-	digest quarantine.Digest
 	// objective is when the first event or the answer is due, deadline when
 	// the caller's or the route's time is over.
 	objective time.Time
@@ -142,6 +140,11 @@
 	return float64(lag-lagFrom) > random*float64(lagAll-lagFrom)
 }
 
+// digest identifies the request's content.
+func (t *task) digest() quarantine.Digest {
+	return quarantine.NewDigest(t.account, t.request.Method, t.request.Target, t.request.Body)
+}
+
 // resolve finds the route and the account of the request.
 func (f *Forwarder) resolve(request *Request) (*task, *failure) {
 	if f.refusing.Load() {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -36,7 +36,6 @@
 
 // examine refuses a request that crashes endpoints.
 func (f *Forwarder) examine(t *task) *failure {
-	t.digest = quarantine.NewDigest(t.account, t.request.Method, t.request.Target, t.request.Body)
 	verdict := f.crashes.verdict(time.Now(), t.digest)
 	if verdict.Status != quarantine.Quarantined {
 		return nil
@@ -73,6 +72,9 @@
 	}
 }
 
+// directReadBytes bounds the bodies for which room is made before they come.
+const directReadBytes = 256 << 10
+
 // readBody reads the whole body of the request.
 func readBody(w http.ResponseWriter, r *http.Request, t *task, table *routing.Table) *failure {
 	body := r.Body
@@ -80,7 +82,12 @@
 		body = http.MaxBytesReader(w, body, limit)
 	}
 	var err error
-	t.request.Body, err = io.ReadAll(body)
+	if r.ContentLength > 0 && r.ContentLength <= directReadBytes {
+		t.request.Body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(body, t.request.Body)
+	} else {
+		t.request.Body, err = io.ReadAll(body)
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -79,7 +79,7 @@
 	setDefault(&s.ShutdownS, 10)
 	setDefault(&s.MaxConnections, 512)
 	setDefault(&s.MaxDescriptors, 4096)
-	setDefault(&s.MaxLogLines, 1000)
+	setDefault(&s.MaxLogLines, 400)
 	setDefault(&s.ShareWindowS, 4)
 	setDefault(&s.Retries.Ratio, 0.2)
 	setDefault(&s.Retries.Slack, 50)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -28,8 +28,18 @@
 	window time.Duration
 	own    map[string]*history
 	others map[string]Use
+	// totals holds the use of each account as of totalsAt, and level what
+	// follows from it for levelCapacity.
+	totals        map[string]Use
+	totalsAt      time.Time
+	level         float64
+	levelCapacity float64
 }
 
+// totalsHold is how long the totals are good for the level, which changes with
+// all accounts.
+const totalsHold = 20 * time.Millisecond
+
 // history holds the use of one account, a bucket for each part of the window.
 type history struct {
 	asked, admitted [buckets]float64
@@ -111,6 +121,7 @@
 	for _, u := range uses {
 		l.others[u.Account] = u
 	}
+	l.totals = nil
 }
 
 const (
@@ -145,21 +156,35 @@
 // Share returns the account's share when all engines process so many tokens
 // within the window.
 func (l *Ledger) Share(now time.Time, account string, capacity float64) Share {
-	total := make(map[string]Use, len(l.others)+len(l.own))
+	if l.totals == nil || now.Sub(l.totalsAt) >= totalsHold || capacity != l.levelCapacity {
+		l.total(now, capacity)
+	}
+	s := Share{Level: l.level, Use: l.others[account]}
+	s.Account = account
+	if _, known := l.own[account]; known {
+		h := l.history(now, account)
+		s.Asked += sum(h.asked)
+		s.Admitted += sum(h.admitted)
+	}
+	s.SpareLevel = spareLevel(l.totals, account, s.Level)
+	return s
+}
+
+// total sums the use of all accounts and finds the level.
+func (l *Ledger) total(now time.Time, capacity float64) {
+	l.totals, l.totalsAt, l.levelCapacity = make(map[string]Use, len(l.others)+len(l.own)), now, capacity
 	for name, u := range l.others {
-		total[name] = u
+		l.totals[name] = u
 	}
 	for _, u := range l.Own(now) {
-		other := total[u.Account]
-		total[u.Account] = Use{Account: u.Account, Asked: u.Asked + other.Asked, Admitted: u.Admitted + other.Admitted}
+		other := l.totals[u.Account]
+		l.totals[u.Account] = Use{Account: u.Account, Asked: u.Asked + other.Asked, Admitted: u.Admitted + other.Admitted}
 	}
-	asked := make([]float64, 0, len(total))
-	for _, u := range total {
+	asked := make([]float64, 0, len(l.totals))
+	for _, u := range l.totals {
 		asked = append(asked, u.Asked)
 	}
-	s := Share{Level: level(asked, capacity), Use: total[account]}
-	s.SpareLevel = spareLevel(total, account, s.Level)
-	return s
+	l.level = level(asked, capacity)
 }
 
 // spareLevel returns up to where the account may lead the others.
