--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -121,8 +121,8 @@
 	startingRetryAfter = 300 * time.Millisecond
 	// lagFrom is the lag from which requests are turned away, and lagAll that
 	// at which all are.
-	lagFrom = 40 * time.Millisecond
-	lagAll  = 200 * time.Millisecond
+	lagFrom = 15 * time.Millisecond
+	lagAll  = 80 * time.Millisecond
 )
 
 // overloaded tells whether to turn a request away since this daemon could not
