Keep a busy router in step with its control hosts

It turns requests away before it reads more of them, ends the connections, is not ready while it does, gives its calls more time while it is late, and takes no request while it is busy and out of touch. A router that is cut off without being busy serves on.

--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -77,6 +77,8 @@
 	server    *httptest.Server
 	forwarder *edge.Forwarder
 	tables    *tables
+	// lag and unsynced are what the daemon says of itself, in nanoseconds.
+	lag, unsynced atomic.Int64
 }
 
 func document() routing.Document {
@@ -118,8 +120,9 @@
 	client := endpoint.NewClient(endpoint.ClientConfig{Headers: adapter.Headers()})
 	s.forwarder = edge.New(edge.Config{
 		Codec: adapter, Endpoints: client, Tables: s.tables, Gate: gate, Metrics: noMetrics{},
-		Crowded: func() bool { return false }, Lag: func() time.Duration { return 0 },
-		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, MaxAnswerBytes: 1 << 20,
+		Crowded: func() bool { return false }, Lag: func() time.Duration { return time.Duration(s.lag.Load()) },
+		Unsynced: func() time.Duration { return time.Duration(s.unsynced.Load()) },
+		Log:      &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, MaxAnswerBytes: 1 << 20,
 	})
 	s.forwarder.SetRetryBudget(1, 100)
 	s.server = httptest.NewServer(s.forwarder)
@@ -463,3 +466,32 @@
 	c.Check(response.Close, qt.IsTrue)
 	c.Check(e.seen(), qt.HasLen, 0)
 }
+
+// TestOverloadedDaemonTurnsAway checks that a daemon which can't keep up, or is
+// too busy to hear of changes, takes nothing, and ends the connection.
+func TestOverloadedDaemonTurnsAway(t *testing.T) {
+	tests := []struct {
+		name          string
+		lag, unsynced time.Duration
+		want          int
+	}{
+		{"idle", 0, 0, 200},
+		{"late", 100 * time.Millisecond, 0, 503},
+		{"busy and out of touch", 10 * time.Millisecond, 2 * time.Second, 503},
+		{"cut off", time.Millisecond, time.Minute, 200},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			e := newEndpoint(c, ok("a"))
+			s := newSite(c, e)
+			s.lag.Store(int64(test.lag))
+			s.unsynced.Store(int64(test.unsynced))
+			response, _, err := s.ask(c, "POST", "/unsafe/", strings.Repeat("x", 900), nil)
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.want)
+			c.Check(response.Close, qt.Equals, test.want == 503)
+			c.Check(len(e.seen()) == 1, qt.Equals, test.want == 200)
+		})
+	}
+}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -29,8 +29,10 @@
 	// Crowded tells whether too many callers' connections are open; those of
 	// refused requests are closed then.
 	Crowded func() bool
-	// Lag tells how late this daemon's own timers are.
+	// Lag tells how long what this daemon has to do waits for the processor.
 	Lag func() time.Duration
+	// Unsynced tells how long no control host has answered this daemon.
+	Unsynced func() time.Duration
 	// MaxActive bounds the requests under way; 0 for no bound.
 	MaxActive int
 	// MaxAnswerBytes bounds an answer.
@@ -123,17 +125,41 @@
 	// at which all are.
 	lagFrom = 15 * time.Millisecond
 	lagAll  = 80 * time.Millisecond
+	// starvedLag and starvedAfter are from when a daemon counts as too busy to
+	// hear what its control hosts say: it takes no requests then.
+	starvedLag   = 5 * time.Millisecond
+	starvedAfter = 1500 * time.Millisecond
 )
 
+// turnAway refuses a request at once, and the connection with it: the caller's
+// next one reaches another daemon.
+func (f *Forwarder) turnAway() *failure {
+	switch {
+	case f.refusing.Load():
+		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
+	case f.overloaded():
+		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: drainingRetryAfter, message: "this daemon has too much to do"}
+	default:
+		return nil
+	}
+}
+
 // overloaded tells whether to turn a request away since this daemon could not
 // keep up.
 func (f *Forwarder) overloaded() bool {
 	if f.cfg.MaxActive > 0 && f.Active() > f.cfg.MaxActive {
 		return true
 	}
-	return shed(f.cfg.Lag(), rand.Float64())
+	lag := f.cfg.Lag()
+	if lag >= starvedLag && f.cfg.Unsynced() >= starvedAfter {
+		return true
+	}
+	return shed(lag, rand.Float64())
 }
 
+// Overloaded tells whether this daemon turns away most of its requests.
+func (f *Forwarder) Overloaded() bool { return f.cfg.Lag() >= (lagFrom+lagAll)/2 }
+
 // shed tells whether to turn a request away at a lag. random is uniform in
 // [0, 1).
 func shed(lag time.Duration, random float64) bool {
@@ -146,26 +172,21 @@
 }
 
 // resolve finds the route and the account of the request.
-func (f *Forwarder) resolve(request *Request) (*task, *failure) {
-	if f.refusing.Load() {
-		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
-	}
-	if f.overloaded() {
-		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: drainingRetryAfter, message: "this daemon has too much to do"}
-	}
+func (f *Forwarder) resolve(t *task) *failure {
 	table := f.cfg.Tables.Table()
 	if table == nil {
-		return nil, &failure{status: 503, outcome: OutcomeNotRun, code: CodeNoTable, retryAfter: startingRetryAfter, message: "no routing table is known yet"}
+		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeNoTable, retryAfter: startingRetryAfter, message: "no routing table is known yet"}
 	}
-	t := &task{request: request, version: table.Version()}
+	request := t.request
+	t.version = table.Version()
 	t.route = table.Match(request.Host, request.Path)
 	if t.route == nil {
-		return t, &failure{status: 404, outcome: OutcomeNotRun, code: CodeNoRoute, message: "no route for the host and path"}
+		return &failure{status: 404, outcome: OutcomeNotRun, code: CodeNoRoute, message: "no route for the host and path"}
 	}
 	if !t.route.Public {
 		account, ok := table.Account(request.Key)
 		if !ok {
-			return t, &failure{status: 401, outcome: OutcomeNotRun, code: CodeUnknownKey, message: "the key is unknown"}
+			return &failure{status: 401, outcome: OutcomeNotRun, code: CodeUnknownKey, message: "the key is unknown"}
 		}
 		t.account = account
 	}
@@ -179,7 +200,7 @@
 	if t.route.Objective <= 0 {
 		t.objective = t.deadline
 	}
-	return t, nil
+	return nil
 }
 
 // pickNumber spreads requests over the services of a route by their id.
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -16,11 +16,15 @@
 	defer f.active.Add(-1)
 	request := f.cfg.Codec.Decode(r)
 	a := &answer{w: w, control: http.NewResponseController(w), close: f.draining.Load()}
-	t, failed := f.resolve(request)
-	if t == nil {
-		t = &task{request: request}
+	t := &task{request: request, answer: a}
+	failed := f.turnAway()
+	if failed != nil {
+		// What is left unread of a body would reset the connection.
+		_, _ = io.CopyN(io.Discard, r.Body, directReadBytes)
+		a.close = true
+	} else {
+		failed = f.resolve(t)
 	}
-	t.answer = a
 	if failed == nil {
 		failed = readBody(w, r, t, f.cfg.Tables.Table())
 	}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -32,6 +32,9 @@
 	// new try does better than a long wait.
 	exchangeTimeout = 600 * time.Millisecond
 	findTimeout     = 150 * time.Millisecond
+	// lagTimeouts is by how many times this daemon's lag a call may take
+	// longer: its answer waits for the processor as well.
+	lagTimeouts = 20
 	// budgetPart is the part of the fleet's retry budget that is used: windows
 	// slide, and routers come and go.
 	budgetPart = 0.5
@@ -66,9 +69,12 @@
 	open     *connections
 	draining atomic.Bool
 	table    atomic.Pointer[routing.Table]
-	lag      lagMeter
-	stop     context.CancelFunc
-	done     sync.WaitGroup
+	// synced is when a control host last answered, in nanoseconds of Unix
+	// time.
+	synced atomic.Int64
+	lag    lagMeter
+	stop   context.CancelFunc
+	done   sync.WaitGroup
 
 	// mu guards what follows.
 	mu        sync.Mutex
@@ -106,7 +112,7 @@
 		return 0
 	})
 	r.forwarder = edge.New(edge.Config{
-		Crowded: r.open.crowded, Lag: r.lag.value, MaxActive: max(d.settings.MaxDescriptors-reservedDescriptors, 0) / descriptorsPerRequest,
+		Crowded: r.open.crowded, Lag: r.lag.value, Unsynced: r.unsynced, MaxActive: max(d.settings.MaxDescriptors-reservedDescriptors, 0) / descriptorsPerRequest,
 		Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
 		Metrics: telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
 	})
@@ -151,11 +157,16 @@
 		return "the daemon is shutting down"
 	case r.Table() == nil:
 		return "no routing table is known yet"
+	case r.forwarder.Overloaded():
+		return "the daemon has too much to do"
 	default:
 		return ""
 	}
 }
 
+// unsynced returns how long no control host has answered.
+func (r *router) unsynced() time.Duration { return time.Since(time.Unix(0, r.synced.Load())) }
+
 func (r *router) drain() {
 	r.draining.Store(true)
 	r.forwarder.Drain()
@@ -257,11 +268,12 @@
 	at := r.marks[host]
 	r.mu.Unlock()
 	request.DirectoryEpoch, request.DirectoryRevision, request.CacheRevision = at.epoch, at.revision, at.cache
-	response, err := peer.Exchange(ctx, r.dialer, host, timeout, request)
+	response, err := peer.Exchange(ctx, r.dialer, host, timeout+lagTimeouts*r.lag.value(), request)
 	if err != nil {
 		r.lost(ctx, host, err)
 		return
 	}
+	r.synced.Store(time.Now().UnixNano())
 	r.take(time.Now(), host, response, primary)
 }
 
