--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -23,12 +23,13 @@
 // whole answer.
 func (f *Forwarder) run(ctx context.Context, t *task) *failure {
 	f.earn(t.service)
-	for again := false; ; again = true {
-		placed, refused := f.place(ctx, t, again)
+	var callErr *endpoint.CallError
+	for {
+		placed, refused := f.place(ctx, t, callErr != nil)
 		if refused != nil {
-			return f.notPlaced(ctx, t, refused)
+			return f.notPlaced(ctx, t, refused, callErr)
 		}
-		callErr := f.attempt(ctx, t, placed)
+		callErr = f.attempt(ctx, t, placed)
 		if callErr == nil {
 			return nil
 		}
@@ -162,12 +163,14 @@
 // maxDials bounds the endpoints that one request is tried at.
 const maxDials = 4
 
-// notPlaced ends a request that found no endpoint. After a run a refusal would
-// not be true.
-func (f *Forwarder) notPlaced(ctx context.Context, t *task, refused *failure) *failure {
+// notPlaced ends a request that found no endpoint, after an attempt that failed
+// with before unless that is nil. After a run a refusal would not be true.
+func (f *Forwarder) notPlaced(ctx context.Context, t *task, refused *failure, before *endpoint.CallError) *failure {
 	switch {
 	case ctx.Err() != nil:
 		return &failure{outcome: OutcomeAbandoned, code: CodeCallerGone, message: "the caller has gone"}
+	case before != nil && before.Kind == endpoint.EndpointError:
+		return f.giveUp(ctx, t, before)
 	case t.mayHaveRun:
 		return &failure{status: 502, outcome: OutcomeFailed, code: CodeBroken, message: "the endpoint failed, and no other has room"}
 	default:
--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -19,6 +19,9 @@
 	// was running at a crash, and refused when it was so twice.
 	suspectTime    = time.Minute
 	quarantineTime = time.Minute
+	// togetherWithin is how close crashes may be to count as one event: what
+	// brings down several endpoints at once is no single request.
+	togetherWithin = 2 * time.Second
 	// crashNewsFor is how long a suspicion is told to the other routers.
 	crashNewsFor = 3 * time.Second
 )
@@ -41,6 +44,8 @@
 	// lost holds the requests whose connections broke, by endpoint.
 	lost map[string]*breakage
 	news []crashNews
+	// counted is when a crash was last counted for a request.
+	counted map[quarantine.Digest]time.Time
 }
 
 // breakage is what broke at one endpoint of late.
@@ -57,7 +62,7 @@
 
 func newCrashes(l log.Interface) *crashes {
 	return &crashes{
-		log: l, lost: make(map[string]*breakage),
+		log: l, lost: make(map[string]*breakage), counted: make(map[quarantine.Digest]time.Time),
 		table: quarantine.New(quarantine.Config{SuspectTime: suspectTime, QuarantineTime: quarantineTime}),
 	}
 }
@@ -129,7 +134,7 @@
 		return
 	}
 	delete(c.lost, id)
-	quarantined := c.table.Crash(now, b.digests)
+	quarantined := c.table.Crash(now, c.apart(now, b.digests))
 	event.EndpointCrashed.Log(c.log, event.Fields{"endpoint": id, "service": b.endpoint.Service, "requests": len(b.digests)})
 	for _, digest := range b.digests {
 		c.tell(now, Crasher{Digest: digest, Until: now.Add(suspectTime)})
@@ -140,6 +145,26 @@
 	}
 }
 
+// apart returns the requests that were not counted for another crash at the
+// same time. c.mu is held.
+func (c *crashes) apart(now time.Time, digests []quarantine.Digest) []quarantine.Digest {
+	var list []quarantine.Digest
+	for _, digest := range digests {
+		if last, ok := c.counted[digest]; !ok || now.Sub(last) >= togetherWithin {
+			list = append(list, digest)
+		}
+	}
+	for digest, last := range c.counted {
+		if now.Sub(last) >= togetherWithin {
+			delete(c.counted, digest)
+		}
+	}
+	for _, digest := range list {
+		c.counted[digest] = now
+	}
+	return list
+}
+
 // tell adds news for the other routers. c.mu is held.
 func (c *crashes) tell(now time.Time, crasher Crasher) {
 	c.news = append(c.news, crashNews{crasher: crasher, at: now})
@@ -165,10 +190,13 @@
 	defer c.mu.Unlock()
 	for _, crasher := range crashers {
 		if !crasher.Quarantined {
-			c.table.AdoptSuspect(now, crasher.Digest)
+			if c.table.AdoptSuspect(now, crasher.Digest) {
+				c.counted[crasher.Digest] = now
+			}
 			continue
 		}
-		if c.table.Adopt(crasher.Digest, crasher.Until) {
+		known := c.table.Mark(now, crasher.Digest).Status == quarantine.Quarantined
+		if !known && c.table.Adopt(crasher.Digest, crasher.Until) {
 			event.RequestQuarantined.Log(c.log, event.Fields{"digest": crasher.Digest.String(), "until": crasher.Until})
 		}
 	}
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -295,6 +295,17 @@
 	c.Check(after > 0 && after < 0.25, qt.IsTrue, qt.Commentf("%v", after))
 }
 
+// TestErrorOfTheOnlyEndpoint checks that an endpoint's own error is passed on
+// when no other can be asked.
+func TestErrorOfTheOnlyEndpoint(t *testing.T) {
+	c := qt.New(t)
+	response, body, err := newSite(c, newEndpoint(c, status(500))).ask(c, "GET", "/safe/", "", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 500)
+	c.Check(body, qt.Equals, "own words")
+	c.Check(response.Header.Get("Oleanderramp-Server-Stamp"), qt.Equals, "stamp")
+}
+
 func TestRefusedBeforeAnyEndpoint(t *testing.T) {
 	tests := []struct {
 		name, path, key, body string
