--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,7 +32,7 @@
 	firstEventMS = 25.0
 	// farMS is what another region costs, in milliseconds: the way there and
 	// back, and the price of the traffic.
-	farMS = 60.0
+	farMS = 120.0
 	// startWorkMS is the time of a plain service's answer before it was
 	// measured, in milliseconds.
 	startWorkMS = 20.0
