--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -30,9 +30,10 @@
 	// firstEventMS is what an engine takes for a first event without any
 	// prompt, in milliseconds.
 	firstEventMS = 25.0
-	// farMS is what another region costs, in milliseconds: the way there and
-	// back, and the price of the traffic.
-	farMS = 120.0
+	// farMS is what the way to another region and back takes, in milliseconds,
+	// and farPenaltyMS weighs the price of the traffic.
+	farMS        = 40.0
+	farPenaltyMS = 80.0
 	// startWorkMS is the time of a plain service's answer before it was
 	// measured, in milliseconds.
 	startWorkMS = 20.0
@@ -291,6 +292,9 @@
 			continue
 		}
 		cost := predicted + e.failures*failurePenaltyMS
+		if e.entry.Region != b.region {
+			cost += farPenaltyMS
+		}
 		switch {
 		case held > holders.held[i]:
 			cost += fetchPenaltyMS
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -234,6 +234,17 @@
 	c.Check(b.Choose(start, d).Reason, qt.Equals, balance.Reason(""))
 }
 
+// TestFarEndpointIsBetterThanNone checks that a service whose only endpoint of
+// the region is gone is reached in another, though its objective is short.
+func TestFarEndpointIsBetterThanNone(t *testing.T) {
+	c := qt.New(t)
+	b := balance.New("near")
+	entries := fleet("orders", 2, 2)
+	b.Update(entries[1:], table(c, routing.Engine{}))
+	choice := b.Choose(start, balance.Demand{Service: "orders", Within: 120 * time.Millisecond})
+	c.Check(choice.Endpoint.ID, qt.Equals, "orders-1")
+}
+
 func TestPlainServiceByItsSlots(t *testing.T) {
 	c := qt.New(t)
 	b := balance.New("near")
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -30,6 +30,14 @@
 	// refused for want of room may come back: another router may have room, or
 	// the account a share again, in time for the objective.
 	againPart = 0.25
+	// shortPart is the part of a usual request's tokens up to which a request
+	// is short, and shortBonus by how much such requests may exceed the
+	// account's levels: they cost engines little, and many callers wait for
+	// them.
+	shortPart  = 0.35
+	shortBonus = 1.4
+	// usualSmoothing is the weight of a request in the usual tokens.
+	usualSmoothing = 0.01
 	// maxTries bounds the waiting requests that are tried in vain at once.
 	maxTries = 3
 	// leastRetryAfter is the least time to come back after.
@@ -66,7 +74,9 @@
 	balancer *balance.Balancer
 	ledger   *share.Ledger
 	capacity float64
-	waiting  []*waiter
+	// usual is the moving average of the tokens that requests cost.
+	usual   float64
+	waiting []*waiter
 }
 
 // waiter is a wish that found no endpoint yet.
@@ -150,9 +160,22 @@
 		g.ledger.Ask(now, w.account, w.tokens)
 	}
 	s := g.ledger.Share(now, w.account, g.capacity)
+	if g.short(w.tokens) {
+		s.Level, s.SpareLevel = s.Level*shortBonus, s.SpareLevel*shortBonus
+	}
 	return w.again || s.Within(w.tokens), s
 }
 
+// short tells whether a request costs little against the usual one, and counts
+// it. g.mu is held.
+func (g *Gate) short(tokens float64) bool {
+	if g.usual == 0 {
+		g.usual = tokens
+	}
+	g.usual += usualSmoothing * (tokens - g.usual)
+	return tokens <= shortPart*g.usual
+}
+
 // try chooses an endpoint and takes a place there.
 func (g *Gate) try(now time.Time, w wish, within bool) (placement, bool) {
 	limit, finish := withinLimit, finishWithin
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -106,12 +106,25 @@
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
 	case http.StateIdle:
-		c.open[conn] = time.AfterFunc(c.patience(), func() { _ = conn.Close() }) // The server notices.
+		var timer *time.Timer
+		timer = time.AfterFunc(c.patience(), func() { c.expire(conn, &timer) })
+		c.open[conn] = timer
 	default:
 		c.open[conn] = nil
 	}
 }
 
+// expire ends a connection that is unused yet. It only lets the server read no
+// more from it: of a request that has come in after all nothing is lost that was
+// passed on.
+func (c *connections) expire(conn net.Conn, timer **time.Timer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[conn] == *timer {
+		_ = conn.SetReadDeadline(time.Unix(1, 0)) // A connection without deadlines stays open.
+	}
+}
+
 // patience returns how long a connection may be unused now. c.mu is held.
 func (c *connections) patience() time.Duration {
 	if len(c.open) > c.most {
