--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -28,6 +28,8 @@
 	close    bool
 	ticket   *ticket
 	deadline time.Time
+	// began is called at the first event of a stream.
+	began func()
 
 	// status is that of the caller's answer; 0 before there is one.
 	status int
@@ -90,6 +92,9 @@
 		}
 		return a.flush()
 	}
+	if a.lastEvent == "" && !a.sent {
+		a.began()
+	}
 	a.ticket.events(time.Now(), countEvents(p))
 	if !a.joined {
 		first := eventID(p)
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -46,10 +46,7 @@
 	w := wish{
 		demand:    balance.Demand{Service: t.service, Prompt: prompt, Excluded: t.excluded},
 		account:   t.account,
-		objective: t.objective.Sub(now), patience: t.deadline.Sub(now), again: again,
-	}
-	if prompt.Tokens > 0 {
-		w.tokens = float64(prompt.Tokens + 2*prompt.Output)
+		objective: t.objective.Sub(now), patience: t.deadline.Sub(now), again: again, tokens: t.tokens(),
 	}
 	if again {
 		// What was begun is carried on as long as the caller waits.
@@ -197,5 +194,15 @@
 	}
 }
 
+// tokens returns what the request costs of its account's share: a token read
+// counts once, a token generated twice.
+func (t *task) tokens() float64 {
+	prompt := t.request.Prompt
+	if prompt.Tokens == 0 {
+		return 0
+	}
+	return float64(prompt.Tokens + 2*prompt.Output)
+}
+
 // isStream tells whether the answer is a stream of events.
 func (t *task) isStream() bool { return t.route.Kind == routing.Streaming }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -75,6 +75,7 @@
 type Metrics interface {
 	Ended(service, outcome, code string, took time.Duration)
 	Waited(service string, wait time.Duration)
+	Began(service string, took time.Duration)
 	Retried(service string)
 	Served(service, account string, cost float64)
 }
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -123,8 +123,8 @@
 	startingRetryAfter = 300 * time.Millisecond
 	// lagFrom is the lag from which requests are turned away, and lagAll that
 	// at which all are.
-	lagFrom = 15 * time.Millisecond
-	lagAll  = 80 * time.Millisecond
+	lagFrom = 10 * time.Millisecond
+	lagAll  = 50 * time.Millisecond
 	// starvedLag and starvedAfter are from when a daemon counts as too busy to
 	// hear what its control hosts say: it takes no requests then.
 	starvedLag   = 5 * time.Millisecond
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -151,6 +151,16 @@
 	return g.wait(ctx, waiting, s)
 }
 
+// asked counts what an account asks for and does not get.
+func (g *Gate) asked(now time.Time, account string, tokens float64) {
+	if tokens == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Ask(now, account, tokens)
+}
+
 // claim counts the request and tells whether it is within its account's share.
 func (g *Gate) claim(now time.Time, w wish) (bool, share.Share) {
 	if w.tokens == 0 || g.capacity == 0 {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -22,6 +22,7 @@
 		// What is left unread of a body would reset the connection.
 		_, _ = io.CopyN(io.Discard, r.Body, directReadBytes)
 		a.close = true
+		f.countTurnedAway(t)
 	} else {
 		failed = f.resolve(t)
 	}
@@ -33,6 +34,7 @@
 	}
 	if failed == nil {
 		a.stream, a.mayGoOn, a.deadline = t.isStream(), t.isStream() && t.route.Resumable, t.deadline.Add(writeSlack)
+		a.began = func() { f.cfg.Metrics.Began(t.service, time.Since(request.Arrived)) }
 		failed = f.run(r.Context(), t)
 	}
 	f.answerEnd(t, failed)
@@ -50,6 +52,14 @@
 	}
 }
 
+// countTurnedAway counts what the account asks for though it is turned away, so
+// that it counts as one that wants more.
+func (f *Forwarder) countTurnedAway(t *task) {
+	if f.resolve(t) == nil {
+		f.cfg.Gate.asked(time.Now(), t.account, t.tokens())
+	}
+}
+
 // writeSlack is how long after the caller's time an answer may still be
 // written.
 const writeSlack = 500 * time.Millisecond
--- a/internal/logring/budget.go
+++ b/internal/logring/budget.go
@@ -27,6 +27,8 @@
 	second  int64
 	passed  int
 	omitted map[int]int
+	// total counts all that was left out.
+	total uint64
 }
 
 // NewBudget returns a budget in front of a handler. now is the clock.
@@ -55,12 +57,20 @@
 	if b.passed >= limit {
 		number, _ := e.Fields["event"].(int) // 0 for lines that are no event.
 		b.omitted[number]++
+		b.total++
 		return false
 	}
 	b.passed++
 	return true
 }
 
+// Omitted returns how many lines were left out so far.
+func (b *Budget) Omitted() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.total
+}
+
 // TakeOmitted returns how many lines were left out since the last call, and
 // their numbers by event, such as "201:12 300:9"; 0 for none.
 func (b *Budget) TakeOmitted() (lines int, byEvent string) {
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -48,9 +48,9 @@
 	// reservedDescriptors are kept for all but requests, which need so many
 	// each: one to the caller, one to the endpoint, and one that is unused.
 	reservedDescriptors   = 800
-	descriptorsPerRequest = 3
+	descriptorsPerRequest = 4
 	// maxIdleConnections bounds the unused connections to one endpoint.
-	maxIdleConnections = 8
+	maxIdleConnections = 4
 	// maxAnswerBytes bounds an endpoint's answer.
 	maxAnswerBytes = 64 << 20
 )
@@ -112,17 +112,12 @@
 		return 0
 	})
 	r.forwarder = edge.New(edge.Config{
-		Crowded: r.open.crowded, Lag: r.lag.value, Unsynced: r.unsynced, MaxActive: max(d.settings.MaxDescriptors-reservedDescriptors, 0) / descriptorsPerRequest,
+		Crowded: r.open.crowded, Lag: r.lag.value, Unsynced: r.Unsynced, MaxActive: max(d.settings.MaxDescriptors-reservedDescriptors, 0) / descriptorsPerRequest,
 		Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
 		Metrics: telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
 	})
 	r.setBudget()
-	telemetry.Gauge(d.registry, "oleanderramp_routing_version", "Version of the routing table in force; 0 for none.", func() float64 {
-		if table := r.Table(); table != nil {
-			return float64(table.Version())
-		}
-		return 0
-	})
+	telemetry.Router(d.registry, r)
 	r.done.Go(func() { r.lag.run(ctx) })
 	r.done.Go(func() {
 		r.findTable(ctx)
@@ -164,8 +159,29 @@
 	}
 }
 
-// unsynced returns how long no control host has answered.
-func (r *router) unsynced() time.Duration { return time.Since(time.Unix(0, r.synced.Load())) }
+// RoutingVersion returns the version in force; 0 for none.
+func (r *router) RoutingVersion() uint64 {
+	if table := r.Table(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// Lag returns how long what this process has to do waits for the processor.
+func (r *router) Lag() time.Duration { return r.lag.value() }
+
+// Endpoints returns how many endpoints may get requests.
+func (r *router) Endpoints() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.directory.Usable())
+}
+
+// Active returns the number of requests under way.
+func (r *router) Active() int { return r.forwarder.Active() }
+
+// Unsynced returns how long no control host has answered.
+func (r *router) Unsynced() time.Duration { return time.Since(time.Unix(0, r.synced.Load())) }
 
 func (r *router) drain() {
 	r.draining.Store(true)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -110,6 +110,10 @@
 		if d.control, err = newControl(d); err != nil {
 			return err
 		}
+		telemetry.Voters(d.registry, func() int {
+			voters, _ := d.control.voters()
+			return voters
+		})
 		listener, err := net.Listen("tcp", d.settings.PeerAddress())
 		if err != nil {
 			return fmt.Errorf("listen for peers: %w", err)
@@ -150,6 +154,9 @@
 	return nil
 }
 
+// Registry returns the metrics of the daemon.
+func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
+
 // Ready returns an empty string, or the reason why the daemon takes no
 // requests.
 func (d *Daemon) Ready() string {
@@ -169,10 +176,10 @@
 
 // RoutingVersion returns the version that this router uses; 0 for none.
 func (d *Daemon) RoutingVersion() uint64 {
-	if d.router == nil || d.router.Table() == nil {
+	if d.router == nil {
 		return 0
 	}
-	return d.router.Table().Version()
+	return d.router.RoutingVersion()
 }
 
 // Voters returns how many voters the quorum has, as far as this daemon's
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -19,6 +19,7 @@
 	crashes  *prometheus.CounterVec
 	waits    *prometheus.HistogramVec
 	times    *prometheus.HistogramVec
+	firsts   *prometheus.HistogramVec
 	cost     *prometheus.CounterVec
 }
 
@@ -40,11 +41,14 @@
 		times: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "oleanderramp_request_seconds", Help: "Time from arrival to the end of the answer.", Buckets: requestBuckets,
 		}, []string{"service"}),
+		firsts: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "oleanderramp_first_event_seconds", Help: "Time from arrival to the first event of a stream.", Buckets: waitBuckets,
+		}, []string{"service"}),
 		cost: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "oleanderramp_service_received_total", Help: "Weighted service by service and client account.",
 		}, []string{"service", "account"}),
 	}
-	registry.MustRegister(m.outcomes, m.retries, m.crashes, m.waits, m.times, m.cost)
+	registry.MustRegister(m.outcomes, m.retries, m.crashes, m.waits, m.times, m.firsts, m.cost)
 	return m
 }
 
@@ -59,6 +63,11 @@
 	m.waits.WithLabelValues(service).Observe(wait.Seconds())
 }
 
+// Began counts the first event of a stream, which came after the duration.
+func (m *RequestMetrics) Began(service string, took time.Duration) {
+	m.firsts.WithLabelValues(service).Observe(took.Seconds())
+}
+
 // Retried counts a further attempt.
 func (m *RequestMetrics) Retried(service string) { m.retries.WithLabelValues(service).Inc() }
 
@@ -107,6 +116,46 @@
 	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 }
 
+// Counter registers a count that is read when the metrics are.
+func Counter(registry *prometheus.Registry, name, help string, value func() float64) {
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+}
+
+// RouterState is what a router of a site believes.
+type RouterState interface {
+	RoutingVersion() uint64
+	Lag() time.Duration
+	Unsynced() time.Duration
+	Endpoints() int
+	Active() int
+}
+
+// Router registers what a router of a site believes.
+func Router(registry *prometheus.Registry, r RouterState) {
+	Gauge(registry, "oleanderramp_routing_version", "Version of the routing table in force; 0 for none.",
+		func() float64 { return float64(r.RoutingVersion()) })
+	Gauge(registry, "oleanderramp_processor_wait_seconds", "How long what the router has to do waits for the processor.",
+		func() float64 { return r.Lag().Seconds() })
+	Gauge(registry, "oleanderramp_unsynced_seconds", "Time since a control host last answered.",
+		func() float64 { return r.Unsynced().Seconds() })
+	Gauge(registry, "oleanderramp_endpoints", "Endpoints that may get requests.",
+		func() float64 { return float64(r.Endpoints()) })
+	Gauge(registry, "oleanderramp_requests_active", "Requests under way.",
+		func() float64 { return float64(r.Active()) })
+}
+
+// Voters registers the number of the quorum's voters.
+func Voters(registry *prometheus.Registry, voters func() int) {
+	Gauge(registry, "oleanderramp_quorum_voters", "Voters of the quorum, as this control host knows it.",
+		func() float64 { return float64(voters()) })
+}
+
+// LogLines registers the log lines that were left out.
+func LogLines(registry *prometheus.Registry, omitted func() uint64) {
+	Counter(registry, "oleanderramp_log_lines_omitted_total", "Log lines left out, over the budget or unread.",
+		func() float64 { return float64(omitted()) })
+}
+
 // Traffic counts bytes of control traffic.
 type Traffic interface {
 	Sent() uint64
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -19,6 +19,14 @@
 func (noTraffic) Sent() uint64     { return 0 }
 func (noTraffic) Received() uint64 { return 0 }
 
+type idleRouter struct{}
+
+func (idleRouter) RoutingVersion() uint64  { return 0 }
+func (idleRouter) Lag() time.Duration      { return 0 }
+func (idleRouter) Unsynced() time.Duration { return 0 }
+func (idleRouter) Endpoints() int          { return 0 }
+func (idleRouter) Active() int             { return 0 }
+
 // TestMetricsPage checks that docs/OPERATIONS.md lists each metric with its
 // labels, and no others.
 func TestMetricsPage(t *testing.T) {
@@ -27,12 +35,16 @@
 	requests := telemetry.NewRequestMetrics(registry)
 	requests.Ended("s", "ok", "", time.Second)
 	requests.Waited("s", time.Second)
+	requests.Began("s", time.Second)
 	requests.Retried("s")
 	requests.Crashed("s")
 	requests.Served("s", "a", 1)
 	telemetry.NewScheduleMetrics(registry).Scheduled("s", "r", 1, 1, 1, 1)
 	telemetry.ControlTraffic(registry, "accepted", noTraffic{})
 	telemetry.Gauge(registry, "oleanderramp_bundle_version", "Help.", func() float64 { return 1 })
+	telemetry.Router(registry, idleRouter{})
+	telemetry.Voters(registry, func() int { return 3 })
+	telemetry.LogLines(registry, func() uint64 { return 0 })
 	families, err := registry.Gather()
 	c.Assert(err, qt.IsNil)
 	var got []string
