--- a/cmd/oleanderramp/trace.go
+++ b/cmd/oleanderramp/trace.go
@@ -130,7 +130,9 @@
 			continue
 		}
 		var l logLine
-		if json.Unmarshal(scanner.Bytes()[at:], &l) == nil && !l.Time.IsZero() {
+		decoder := json.NewDecoder(bytes.NewReader(scanner.Bytes()[at:]))
+		decoder.UseNumber() // Large numbers are printed as they are.
+		if decoder.Decode(&l) == nil && !l.Time.IsZero() {
 			lines = append(lines, l)
 		}
 	}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -224,7 +224,7 @@
 func (f *Forwarder) ended(t *task, fail *failure) {
 	took := time.Since(t.request.Arrived)
 	fields := t.logFields()
-	fields["took_ms"], fields["attempts"] = took.Milliseconds(), t.arrivals
+	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), t.arrivals, t.answer.sent
 	if fail == nil {
 		fields["outcome"], fields["status"] = string(OutcomeOK), t.answer.status
 		f.cfg.Metrics.Ended(t.service, string(OutcomeOK), "", took)
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -25,6 +25,9 @@
 	// primaryPeriod is the time between two calls to the control host that a
 	// router reports its load to.
 	primaryPeriod = 100 * time.Millisecond
+	// primaryRest is how long a control host that did not answer as the primary
+	// is not chosen again; it is called by turns meanwhile.
+	primaryRest = 3 * time.Second
 	// othersPeriod is the time between two calls to the others, by turns.
 	othersPeriod = 250 * time.Millisecond
 	// exchangeTimeout bounds one call, findTimeout one of a router that has no
@@ -84,6 +87,8 @@
 	marks map[string]mark
 	// primary is the control host that gets this router's load.
 	primary string
+	// failed is when a primary last did not answer.
+	failed map[string]time.Time
 	// routers is how many routers there are besides this one.
 	routers int
 }
@@ -100,7 +105,7 @@
 		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, dialer: d.dialer, stop: cancel,
 		gate:  edge.NewGate(d.settings.Region, d.settings.ShareWindow()),
 		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
-		marks: make(map[string]mark),
+		marks: make(map[string]mark), failed: make(map[string]time.Time),
 		client: endpoint.NewClient(endpoint.ClientConfig{
 			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdle, MaxIdle: maxIdleConnections, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
 		}),
@@ -227,7 +232,9 @@
 func (r *router) choosePrimary(now time.Time) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	alive := slices.DeleteFunc(r.hosts.Alive(now), func(h discovery.Host) bool { return h.Draining })
+	alive := slices.DeleteFunc(r.hosts.Alive(now), func(h discovery.Host) bool {
+		return h.Draining || now.Sub(r.failed[h.Address]) < primaryRest
+	})
 	if slices.ContainsFunc(alive, func(h discovery.Host) bool { return h.Address == r.primary }) {
 		return r.primary
 	}
@@ -303,6 +310,7 @@
 	if silence, heard := r.hosts.Silence(time.Now(), host); heard && r.primary == host {
 		event.PeerDown.Log(r.log, event.Fields{"peer": host, "error": err.Error(), "silence_ms": silence.Milliseconds()})
 		r.primary = ""
+		r.failed[host] = time.Now()
 	}
 }
 
