--- a/internal/edge/bench_test.go
+++ b/internal/edge/bench_test.go
@@ -7,7 +7,11 @@
 	"strings"
 	"testing"
 
+	"github.com/apex/log"
+	jsonlog "github.com/apex/log/handlers/json"
 	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/logring"
 )
 
 // benchmarkBody is the size of a long prompt.
@@ -46,6 +50,16 @@
 	benchmarkCalls(b, s, "/stream/", "secret", http.StatusOK)
 }
 
+// BenchmarkStreamLogged is BenchmarkStream with all lines written.
+func BenchmarkStreamLogged(b *testing.B) {
+	c := qt.New(b)
+	ring := logring.New(io.Discard)
+	b.Cleanup(func() { _ = ring.Close() })
+	s := newLoggedSite(c, &log.Logger{Handler: jsonlog.New(ring), Level: log.InfoLevel}, newEndpoint(c, events(1, 45, true)))
+	s.allowBody(c, 2*benchmarkBody)
+	benchmarkCalls(b, s, "/stream/", "secret", http.StatusOK)
+}
+
 // BenchmarkRefusal refuses a request for want of an endpoint.
 func BenchmarkRefusal(b *testing.B) {
 	c := qt.New(b)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -105,6 +105,10 @@
 }
 
 func newSite(c *qt.C, endpoints ...*fakeEndpoint) *site {
+	return newLoggedSite(c, &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, endpoints...)
+}
+
+func newLoggedSite(c *qt.C, l log.Interface, endpoints ...*fakeEndpoint) *site {
 	s := &site{tables: &tables{}}
 	table, err := routing.New(document())
 	c.Assert(err, qt.IsNil)
@@ -126,7 +130,7 @@
 		Codec: adapter, Endpoints: client, Tables: s.tables, Gate: gate, Metrics: noMetrics{},
 		Crowded: func() bool { return false }, Lag: func() time.Duration { return time.Duration(s.lag.Load()) },
 		Unsynced: func() time.Duration { return time.Duration(s.unsynced.Load()) },
-		Log:      &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, MaxAnswerBytes: 1 << 20,
+		Log:      l, MaxAnswerBytes: 1 << 20,
 	})
 	s.forwarder.SetRetryBudget(1, 100)
 	s.server = httptest.NewServer(s.forwarder)
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"io"
 	stdlog "log"
 	"net"
@@ -32,7 +33,11 @@
 
 // newServer opens the address and starts to serve.
 func newServer(address string, handler http.Handler, open *connections) (*server, error) {
-	listener, err := net.Listen("tcp", address)
+	// A client that is gone without a word is found out by probes.
+	probed := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: clientKeepAlive, Interval: time.Second, Count: keepAliveProbes,
+	}}
+	listener, err := probed.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +47,7 @@
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}}
 	s.done.Go(func() {
-		_ = s.http.Serve(probedListener{listener.(*net.TCPListener)}) // It returns when the server is closed.
+		_ = s.http.Serve(listener) // It returns when the server is closed.
 	})
 	return s, nil
 }
@@ -54,22 +59,6 @@
 	return err
 }
 
-// probedListener finds out when the other side of a connection is gone without
-// a word.
-type probedListener struct{ *net.TCPListener }
-
-// Accept returns the next connection.
-func (l probedListener) Accept() (net.Conn, error) {
-	conn, err := l.AcceptTCP()
-	if err != nil {
-		return nil, err
-	}
-	_ = conn.SetKeepAliveConfig(net.KeepAliveConfig{ // Without probes a dead connection ends later.
-		Enable: true, Idle: clientKeepAlive, Interval: time.Second, Count: keepAliveProbes,
-	})
-	return conn, nil
-}
-
 // connections closes those connections of a server that were unused for too
 // long. It is safe for concurrent use.
 type connections struct {
