--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"oleanderramp/internal/endpoint"
@@ -61,7 +60,7 @@
 func New(s *settings.Settings, options Options) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, log: options.Log,
-		self:     &wire.Process{Host: s.Host, Incarnation: newIncarnation(time.Now(), s.Host)},
+		self:     &wire.Process{Host: s.Host, Incarnation: peer.NewIncarnation(time.Now(), s.Host)},
 		registry: telemetry.NewRegistry(),
 	}
 	if err := d.start(options); err != nil {
@@ -73,15 +72,6 @@
 	return d, nil
 }
 
-// hostBits is the number of an incarnation's lowest bits that tell hosts
-// apart which start in the same millisecond.
-const hostBits = 12
-
-// newIncarnation returns a number that grows with each start of the host.
-func newIncarnation(now time.Time, host string) uint64 {
-	return uint64(now.UnixMilli())<<hostBits | xxhash.Sum64String(host)%(1<<hostBits)
-}
-
 // start brings up what the daemon consists of, each part after those that it
 // needs.
 func (d *Daemon) start(options Options) error {
--- a/internal/daemon/fleet.go
+++ b/internal/daemon/fleet.go
@@ -9,6 +9,7 @@
 	"oleanderramp/internal/operator"
 	"oleanderramp/internal/peer"
 	"oleanderramp/internal/scheduling"
+	"oleanderramp/internal/statehost"
 	"oleanderramp/internal/wire"
 	"oleanderramp/pkg/client"
 )
@@ -23,9 +24,6 @@
 	dialer     *peer.Dialer
 }
 
-// replicaName writes the identity of a replica.
-func replicaName(id uint64) string { return fmt.Sprintf("%016x", id) }
-
 // Status returns the daemons heard of and the state of the quorum.
 func (f *fleet) Status(ctx context.Context) (client.FleetStatus, error) {
 	now := time.Now()
@@ -74,7 +72,7 @@
 	var list []client.ReplicaStatus
 	for _, m := range quorum.GetMembers() {
 		list = append(list, client.ReplicaStatus{
-			ID: replicaName(m.GetReplica()), Host: m.GetHost(), Voter: m.GetVoter(), CaughtUp: m.GetCaughtUp(),
+			ID: statehost.ReplicaName(m.GetReplica()), Host: m.GetHost(), Voter: m.GetVoter(), CaughtUp: m.GetCaughtUp(),
 			Leader: m.GetHost() == quorum.GetLeader(), MatchIndex: m.GetMatch(),
 		})
 	}
--- a/internal/daemon/leader.go
+++ b/internal/daemon/leader.go
@@ -10,7 +10,7 @@
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/peer"
 	"oleanderramp/internal/raft"
-	"oleanderramp/internal/replica"
+	"oleanderramp/internal/statehost"
 	"oleanderramp/internal/wire"
 )
 
@@ -33,9 +33,6 @@
 	log   log.Interface
 	stop  context.CancelFunc
 	done  sync.WaitGroup
-	// leader and voters are as last logged.
-	leader raft.Member
-	voters map[raft.Member]bool
 }
 
 func newLeaderDuties(host *stateHost, quorum *peer.Quorum, hosts []string, l log.Interface) *leaderDuties {
@@ -45,13 +42,14 @@
 		ticker := time.NewTicker(leaderPeriod)
 		defer ticker.Stop()
 		var leads time.Time
+		changes := statehost.NewQuorumLog(l)
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case now := <-ticker.C:
 				status := host.replica.Status()
-				s.logQuorum(status)
+				changes.Note(status)
 				if !status.Leads() {
 					leads = time.Time{}
 					continue
@@ -67,31 +65,6 @@
 	return s
 }
 
-// logQuorum logs a change of the leader, and each replica that became a voter.
-func (s *leaderDuties) logQuorum(status replica.Status) {
-	if leader := status.Leader(); leader != s.leader {
-		s.leader = leader
-		if leader.IsZero() {
-			event.QuorumLost.Log(s.log, event.Fields{"term": status.Term()})
-		} else {
-			event.LeaderChanged.Log(s.log, event.Fields{"leader": leader.Host, "term": status.Term()})
-		}
-	}
-	voters := make(map[raft.Member]bool)
-	for _, m := range status.Members() {
-		voters[m.Member] = m.Voter
-		if before, known := s.voters[m.Member]; known && !before && m.Voter {
-			event.ReplicaCaughtUp.Log(s.log, event.Fields{"peer": m.Member.Host, "replica": replicaName(m.Member.Replica)})
-		}
-	}
-	for member := range s.voters {
-		if _, remains := voters[member]; !remains {
-			event.ReplicaRemoved.Log(s.log, event.Fields{"peer": member.Host, "replica": replicaName(member.Replica)})
-		}
-	}
-	s.voters = voters
-}
-
 // dead tells whether a process was silent since this replica leads, for
 // abandonAfter at least, or a later one of its host was heard of. That one may
 // begin no record, and so not take its place in the state.
@@ -138,7 +111,7 @@
 		err := s.host.replica.AddReplica(addCtx, raft.Member{Host: host, Replica: id})
 		cancel()
 		if err == nil {
-			event.ReplicaAdded.Log(s.log, event.Fields{"peer": host, "replica": replicaName(id)})
+			event.ReplicaAdded.Log(s.log, event.Fields{"peer": host, "replica": statehost.ReplicaName(id)})
 		}
 		return // One change at a time.
 	}
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -69,7 +69,7 @@
 	if l.process != abandoned {
 		return
 	}
-	next := max(newIncarnation(time.Now(), l.host), abandoned.GetIncarnation()+1)
+	next := max(peer.NewIncarnation(time.Now(), l.host), abandoned.GetIncarnation()+1)
 	l.process = &wire.Process{Host: l.host, Incarnation: next}
 	l.registered = false
 }
--- a/internal/daemon/replicarole.go
+++ b/internal/daemon/replicarole.go
@@ -32,23 +32,6 @@
 	done   sync.WaitGroup
 }
 
-// openStorage opens the data folder, or makes it.
-func openStorage(s *settings.Settings, l log.Interface) (*disk.Store, error) {
-	folder, err := disk.OpenFolder(s.DataFolder)
-	if err != nil {
-		return nil, fmt.Errorf("open data folder: %w", err)
-	}
-	storage, err := disk.Open(folder, disk.Options{Host: s.Host, NewReplica: rand.Uint64() | 1})
-	var damage *disk.DamageError
-	if errors.As(err, &damage) {
-		event.LogDamaged.Log(l, event.Fields{"error": err.Error()})
-	}
-	if err != nil {
-		return nil, fmt.Errorf("open data folder: %w", err)
-	}
-	return storage, nil
-}
-
 // bootstrapCheckTimeout bounds the question to one other replica.
 const bootstrapCheckTimeout = 500 * time.Millisecond
 
@@ -90,7 +73,7 @@
 
 // newReplicaRole opens the data folder and starts the replica.
 func newReplicaRole(s *settings.Settings, options Options, m *members, dialer *peer.Dialer, l log.Interface) (*replicaRole, error) {
-	storage, err := openStorage(s, l)
+	storage, err := statehost.OpenStorage(s.DataFolder, s.Host, l)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/site/quorum.go
@@ -0,0 +1,187 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"oleanderramp/internal/event"
+	"oleanderramp/internal/raft"
+	"oleanderramp/internal/repair"
+	"oleanderramp/internal/replica"
+	"oleanderramp/internal/statehost"
+	"oleanderramp/internal/wire"
+)
+
+// quorumHost serves the replicated state to the other control hosts.
+type quorumHost struct{ *statehost.Host }
+
+// errNotServed answers calls that a site has no use for.
+var errNotServed = errors.New("not served at a site that finds its hosts by itself")
+
+// Watch is not served: routers get the routing table by Exchange.
+func (quorumHost) Watch(context.Context, *wire.WatchBundleRequest, func(*wire.BundleUpdate) error) error {
+	return errNotServed
+}
+
+// Change is not served: the quorum repairs itself.
+func (quorumHost) Change(context.Context, *wire.QuorumChangeRequest) (*wire.QuorumChangeResponse, error) {
+	return nil, errNotServed
+}
+
+// startReplica opens the data folder and starts the replica. At the first
+// start of the site, one of the seeds begins the quorum; at any other, a
+// replica without data waits until it is added.
+func (c *control) startReplica() error {
+	storage, err := statehost.OpenStorage(c.settings.DataFolder, c.settings.PeerAddress(), c.log)
+	if err != nil {
+		return err
+	}
+	cfg := replica.Config{Join: !c.begins(), Raft: raft.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}}
+	if c.begins() {
+		cfg.Bootstrap = []raft.Member{storage.Identity()}
+	}
+	c.replica, err = replica.New(cfg, storage, c.store, c.replicator)
+	if err != nil {
+		return errors.Join(err, storage.Close())
+	}
+	return nil
+}
+
+// begins tells whether this daemon begins the site's quorum.
+func (c *control) begins() bool {
+	seeds := c.settings.SeedAddresses()
+	return c.settings.FirstStart && len(seeds) > 0 && slices.Min(seeds) == c.settings.PeerAddress()
+}
+
+// watchReplica waits for the replica to stop.
+func (c *control) watchReplica() {
+	<-c.replica.Done()
+	if err := c.replica.Err(); err != nil {
+		event.DaemonFailed.Log(c.log, event.Fields{"error": err.Error()})
+		c.failed <- err
+	}
+}
+
+// repair makes the next change of the quorum's members, if this replica leads.
+func (c *control) repair(ctx context.Context) {
+	status := c.replica.Status()
+	c.changes.Note(status)
+	if !status.Leads() || status.ChangePending() || c.draining.Load() {
+		return
+	}
+	change, ok := repair.Next(c.view(time.Now(), status))
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	fields := event.Fields{"peer": change.Member.Host, "replica": statehost.ReplicaName(change.Member.Replica), "term": status.Term()}
+	var err error
+	if change.Kind == raft.AddLearner {
+		err = c.replica.AddReplica(ctx, change.Member)
+	} else {
+		err = c.replica.RemoveReplica(ctx, change.Member)
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+		event.RepairFailed.Log(c.log, fields)
+		return
+	}
+	if change.Kind == raft.AddLearner {
+		event.ReplicaAdded.Log(c.log, fields)
+	}
+}
+
+// view returns what this replica knows of the members and their hosts.
+func (c *control) view(now time.Time, status replica.Status) repair.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v := repair.View{
+		Self: c.replica.Self(), Members: status.Members(), Hosts: make(map[string]repair.Host),
+		Target: repair.Target(c.settings.ToleratedHosts),
+	}
+	for _, h := range c.hosts.Alive(now) {
+		v.Hosts[h.Address] = repair.Host{Replica: h.Replica, Alive: true, Draining: h.Draining}
+	}
+	for _, m := range status.Members() {
+		if _, alive := v.Hosts[m.Member.Host]; alive {
+			continue
+		}
+		silence, heard := c.hosts.Silence(now, m.Member.Host)
+		if !heard {
+			silence = now.Sub(c.started)
+		}
+		v.Hosts[m.Member.Host] = repair.Host{Silence: silence}
+	}
+	return v
+}
+
+// voters counts the voters, and tells whether this replica is one.
+func (c *control) voters() (count int, votes bool) {
+	for _, m := range c.replica.Status().Members() {
+		if m.Voter {
+			count++
+			votes = votes || m.Member == c.replica.Self()
+		}
+	}
+	return count, votes
+}
+
+// Replace puts a routing table in force.
+func (c *control) Replace(ctx context.Context, version uint64, document []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
+	defer cancel()
+	if err := c.largeEnough(ctx); err != nil {
+		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
+	}
+	command := &wire.Command{Body: &wire.Command_ReplaceRouting{ReplaceRouting: &wire.ReplaceRouting{
+		Version: version, Document: compress(document),
+	}}}
+	result, err := c.quorum.Execute(ctx, command)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnconfirmed, err)
+	}
+	if refused := result.GetError(); refused != nil {
+		return fmt.Errorf("%s: %s", refused.GetCode(), refused.GetMessage())
+	}
+	return nil
+}
+
+// largeEnough waits until the quorum has so many voters that a majority of
+// them is more than may be lost at once.
+func (c *control) largeEnough(ctx context.Context) error {
+	ticker := time.NewTicker(growPoll)
+	defer ticker.Stop()
+	for {
+		voters, _ := c.voters()
+		if voters >= repair.Target(c.settings.ToleratedHosts) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the quorum has %d voters of %d", voters, repair.Target(c.settings.ToleratedHosts))
+		case <-ticker.C:
+		}
+	}
+}
+
+// errNoRouting says that no routing table was ever put in force.
+var errNoRouting = errors.New("there is no routing table yet")
+
+// Routing returns the routing table in force as it was sent.
+func (c *control) Routing(ctx context.Context) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	response, err := c.quorum.Query(ctx, &wire.QueryRequest{Body: &wire.QueryRequest_Routing{Routing: &wire.RoutingQuery{}}})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnconfirmed, err)
+	}
+	if response.GetRouting() == nil {
+		return nil, errNoRouting
+	}
+	return decompress(response.GetRouting().GetDocument())
+}
--- /dev/null
+++ b/internal/site/routersync.go
@@ -0,0 +1,226 @@
+package site
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"oleanderramp/internal/directory"
+	"oleanderramp/internal/discovery"
+	"oleanderramp/internal/event"
+	"oleanderramp/internal/peer"
+	"oleanderramp/internal/wire"
+	"oleanderramp/pkg/routing"
+)
+
+// mark is a place in a control host's directory, and in its index of cached
+// prompt parts.
+type mark struct {
+	epoch, revision, cache uint64
+}
+
+// findTable asks all known control hosts at once until one of them has a
+// routing table.
+func (r *router) findTable(ctx context.Context) {
+	ticker := time.NewTicker(primaryPeriod)
+	defer ticker.Stop()
+	for r.Table() == nil {
+		r.mu.Lock()
+		targets := r.hosts.Targets(time.Now())
+		r.mu.Unlock()
+		var calls sync.WaitGroup
+		for _, host := range targets {
+			calls.Go(func() { r.exchange(ctx, host, false, findTimeout) })
+		}
+		calls.Wait()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// syncPrimary calls the control host that gets this router's load.
+func (r *router) syncPrimary(ctx context.Context) {
+	if host := r.choosePrimary(time.Now()); host != "" {
+		r.exchange(ctx, host, true, exchangeTimeout)
+	}
+}
+
+// choosePrimary keeps the primary while it is alive, and else takes a near one.
+func (r *router) choosePrimary(now time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	alive := slices.DeleteFunc(r.hosts.Alive(now), func(h discovery.Host) bool {
+		return h.Draining || now.Sub(r.failed[h.Address]) < primaryRest
+	})
+	if slices.ContainsFunc(alive, func(h discovery.Host) bool { return h.Address == r.primary }) {
+		return r.primary
+	}
+	before := r.primary
+	r.primary = nearest(alive, r.settings.Region)
+	if r.primary != before {
+		event.PrimaryChanged.Log(r.log, event.Fields{"before": before, "peer": r.primary, "alive": len(alive)})
+	}
+	return r.primary
+}
+
+// nearest returns a host of the same region, else any: the same one for all
+// routers of the region, which so know of each other's load soonest.
+func nearest(alive []discovery.Host, region string) string {
+	for _, h := range alive {
+		if h.Region == region {
+			return h.Address
+		}
+	}
+	if len(alive) > 0 {
+		return alive[0].Address
+	}
+	return ""
+}
+
+// syncNext returns a function that calls the known control hosts by turns.
+func (r *router) syncNext() func(context.Context) {
+	turn := 0
+	return func(ctx context.Context) {
+		r.mu.Lock()
+		targets := slices.DeleteFunc(r.hosts.Targets(time.Now()), func(address string) bool { return address == r.primary })
+		r.mu.Unlock()
+		if len(targets) == 0 {
+			return
+		}
+		turn++
+		r.exchange(ctx, targets[turn%len(targets)], false, exchangeTimeout)
+	}
+}
+
+// exchange calls one control host and takes in what it knows.
+func (r *router) exchange(ctx context.Context, host string, primary bool, timeout time.Duration) {
+	request := &wire.SyncRequest{Sender: r.self}
+	if primary {
+		now := time.Now()
+		loads, uses, read := r.gate.Own(now)
+		request.Load, request.Cached = reportToWire(loads, uses, 1), cachedToWire(now, read)
+		request.Crashers = crashersToWire(now, r.forwarder.Crashers(now))
+	}
+	if table := r.Table(); table != nil {
+		request.RoutingVersion = table.Version()
+	}
+	r.mu.Lock()
+	at := r.marks[host]
+	r.mu.Unlock()
+	request.DirectoryEpoch, request.DirectoryRevision, request.CacheRevision = at.epoch, at.revision, at.cache
+	response, err := peer.Exchange(ctx, r.dialer, host, timeout+lagTimeouts*r.lag.value(), request)
+	if err != nil {
+		r.lost(ctx, host, err)
+		return
+	}
+	r.synced.Store(time.Now().UnixNano())
+	r.take(time.Now(), host, response, primary)
+}
+
+// lost records that a control host did not answer.
+func (r *router) lost(ctx context.Context, host string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if silence, heard := r.hosts.Silence(time.Now(), host); heard && r.primary == host {
+		event.PeerDown.Log(r.log, event.Fields{"peer": host, "error": err.Error(), "silence_ms": silence.Milliseconds()})
+		r.primary = ""
+		r.failed[host] = time.Now()
+	}
+}
+
+// take takes in a control host's answer.
+func (r *router) take(now time.Time, host string, response *wire.SyncResponse, primary bool) {
+	r.mu.Lock()
+	if r.hosts.Heard(now, hostFromWire(response.GetResponder())) {
+		event.PeerUp.Log(r.log, event.Fields{"peer": host, "incarnation": response.GetResponder().GetIncarnation()})
+	}
+	for _, h := range response.GetHosts() {
+		r.hosts.Mentioned(now, hostFromWire(h))
+	}
+	changed := false
+	for _, e := range response.GetEndpoints() {
+		entry := entryFromWire(now, e)
+		change := r.directory.Merge(entry)
+		logChange(r.log, change, entry, host)
+		changed = changed || change != directory.Stale
+	}
+	r.directory.Forget(now)
+	r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: r.marks[host].cache}
+	if primary {
+		r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: response.GetCacheRevision()}
+	}
+	usable := r.directory.Usable()
+	if primary {
+		r.routers = int(response.GetLoad().GetRouters())
+	}
+	r.mu.Unlock()
+
+	r.forwarder.AdoptCrashers(now, crashersFromWire(now, response.GetCrashers()))
+	if changed {
+		r.forwarder.Announced(now, usable)
+	}
+	newTable := r.adopt(response, host)
+	if table := r.Table(); table != nil && (changed || newTable) {
+		r.gate.Update(now, usable, table, r.settings.ShareWindow())
+	}
+	if primary {
+		loads, uses := reportFromWire(response.GetLoad())
+		r.gate.SetOthers(now, loads, uses, cachedFromWire(now, response.GetCached()))
+		r.setBudget()
+	}
+}
+
+// adopt puts a newer routing table in force. A router never goes back.
+func (r *router) adopt(response *wire.SyncResponse, host string) bool {
+	current := r.Table()
+	known := current != nil && response.GetRoutingVersion() <= current.Version()
+	if known || len(response.GetRoutingDocument()) == 0 {
+		return false
+	}
+	document, err := decompress(response.GetRoutingDocument())
+	var table *routing.Table
+	if err == nil {
+		table, err = r.adapter.Routing(document)
+	}
+	if err != nil {
+		event.RoutingUnreadable.Log(r.log, event.Fields{"version": response.GetRoutingVersion(), "peer": host, "error": err.Error()})
+		return false
+	}
+	for {
+		if current != nil && table.Version() <= current.Version() {
+			return false
+		}
+		if r.table.CompareAndSwap(current, table) {
+			break
+		}
+		current = r.table.Load()
+	}
+	before := uint64(0)
+	if current != nil {
+		before = current.Version()
+	}
+	event.RoutingInForce.Log(r.log, event.Fields{"version": table.Version(), "before": before, "routes": table.Len(), "peer": host})
+	return true
+}
+
+// logChange logs what became of an endpoint.
+func logChange(l log.Interface, change directory.Change, e directory.Entry, source string) {
+	fields := event.Fields{
+		"endpoint": e.ID, "service": e.Service, "address": e.Address, "zone": e.Zone, "sequence": e.Sequence, "source": source,
+	}
+	switch change {
+	case directory.Joined:
+		event.EndpointAnnounced.Log(l, fields)
+	case directory.Left:
+		event.EndpointLeft.Log(l, fields)
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
@@ -80,7 +79,7 @@
 func New(s *settings.Site, adapter Adapter, l log.Interface) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, adapter: adapter, log: l,
-		self:     &wire.Process{Host: s.PeerAddress(), Incarnation: newIncarnation(time.Now(), s.PeerAddress())},
+		self:     &wire.Process{Host: s.PeerAddress(), Incarnation: peer.NewIncarnation(time.Now(), s.PeerAddress())},
 		registry: telemetry.NewRegistry(), dialer: peer.NewAddressDialer(nil),
 	}
 	telemetry.ControlTraffic(d.registry, "site", d.dialer.Within())
@@ -94,15 +93,6 @@
 	return d, nil
 }
 
-// hostBits is the number of an incarnation's lowest bits that tell hosts
-// apart which start in the same millisecond.
-const hostBits = 12
-
-// newIncarnation returns a number that tells the starts of a host apart.
-func newIncarnation(now time.Time, host string) uint64 {
-	return uint64(now.UnixMilli())<<hostBits | xxhash.Sum64String(host)%(1<<hostBits)
-}
-
 func (d *Daemon) start() error {
 	listen := d.settings.Listen
 	if d.settings.HasRole(settings.RoleReplica) {
