--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -73,8 +73,8 @@
 }
 
 // attempt sends the request to the endpoint and passes the answer on.
-func (f *Forwarder) attempt(ctx context.Context, t *task, p placement) *endpoint.CallError {
-	ctx, cancel := t.withDeadline(ctx)
+func (f *Forwarder) attempt(caller context.Context, t *task, p placement) *endpoint.CallError {
+	ctx, cancel := t.withDeadline(caller)
 	defer cancel()
 	t.answer.begin(p.ticket)
 	_, err := f.cfg.Endpoints.Do(ctx, f.call(time.Now(), t, p), t.answer)
@@ -88,7 +88,11 @@
 	if !errors.As(err, &callErr) {
 		callErr = &endpoint.CallError{Kind: endpoint.ConnectionLost}
 	}
-	p.ticket.end(time.Now(), outcomeOf(callErr))
+	outcome := outcomeOf(callErr)
+	if callErr.Kind == endpoint.CallerGone && caller.Err() == nil {
+		outcome = balance.Failed // The time was over, and not the caller's patience.
+	}
+	p.ticket.end(time.Now(), outcome)
 	switch callErr.Kind {
 	case endpoint.ConnectionLost, endpoint.Truncated:
 		f.crashes.broke(time.Now(), p.choice.Endpoint, t.digest())
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -430,7 +430,7 @@
 	s := newSite(c, e)
 	conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
 	c.Assert(err, qt.IsNil)
-	fmt.Fprint(conn, "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nOleanderramp-Request-Id: id-1\r\nOleanderramp-Key: secret\r\nContent-Length: 0\r\n\r\n")
+	fmt.Fprint(conn, "POST /stream/ HTTP/1.1\r\nHost: a.example\r\nOleanderramp-Request-Id: id-1\r\nOleanderramp-Key: secret\r\nContent-Length: 4\r\n\r\nbody")
 	<-began
 	_ = conn.Close()
 	<-ended
@@ -449,6 +449,29 @@
 	c.Check(response.StatusCode, qt.Equals, 504)
 }
 
+// TestMuteEndpointIsPutOff checks that an endpoint whose answer stops until the
+// time is over loses its place to another.
+func TestMuteEndpointIsPutOff(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	mute := newEndpoint(c, func(w http.ResponseWriter, r *http.Request) {
+		events(1, 1, true)(w, r)
+		<-release
+	})
+	other := newEndpoint(c, ok("a"))
+	s := newSite(c, mute, other)
+	defer close(release)
+	header := map[string]string{"Oleanderramp-Key": "secret", "Oleanderramp-Deadline-Ms": "100"}
+	_, body, err := s.ask(c, "POST", "/stream/", "x", header)
+	c.Check(err, qt.IsNotNil)
+	c.Check(body, qt.Equals, wholeStream(1, 1))
+	delete(header, "Oleanderramp-Deadline-Ms")
+	response, _, err := s.ask(c, "POST", "/stream/", "x", header)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, 200)
+	c.Check(other.seen(), qt.HasLen, 1)
+}
+
 // TestDrainingEndsConnections checks that a daemon which stops tells its
 // callers to use another connection.
 func TestDrainingEndsConnections(t *testing.T) {
