--- a/internal/raft/property_test.go
+++ b/internal/raft/property_test.go
@@ -83,6 +83,28 @@
 	qt.Check(t, reached > scheduleCount/10, qt.IsTrue)
 }
 
+// TestRepairSchedules runs the schedules, lost disks, cuts and heals among
+// them, on quorums that begin with one voter and repair themselves.
+func TestRepairSchedules(t *testing.T) {
+	var mu sync.Mutex
+	var total simulation
+	forSeeds(scheduleCount, func(seed uint64) bool {
+		s := newSimulation(seeded(seed), "", 1, 3+int(seed%3))
+		s.repairs = true
+		s.run(scheduleSteps)
+		mu.Lock()
+		defer mu.Unlock()
+		total.commits += s.commits
+		total.changes += s.changes
+		if s.violation != "" {
+			t.Errorf("seed %d: %s", seed, s.violation)
+		}
+		return s.violation == ""
+	})
+	t.Logf("%d commits, %d changes", total.commits, total.changes)
+	qt.Check(t, min(total.commits, total.changes) > scheduleCount, qt.IsTrue)
+}
+
 type rapidChooser struct{ t *rapid.T }
 
 func (c rapidChooser) choose(n int) int { return rapid.IntRange(0, n-1).Draw(c.t, "choice") }
--- a/internal/raft/schedule_test.go
+++ b/internal/raft/schedule_test.go
@@ -7,6 +7,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"oleanderramp/internal/raft"
+	"oleanderramp/internal/repair"
 )
 
 // maxOperations and maxConcurrent bound a history and the operations that wait
@@ -254,7 +255,11 @@
 	if p == nil {
 		return
 	}
-	change, found := s.nextChange(p)
+	next := s.nextChange
+	if s.repairs {
+		next = s.nextRepair
+	}
+	change, found := next(p)
 	if !found {
 		return
 	}
@@ -287,6 +292,30 @@
 	return choices[s.choose(len(choices))], true
 }
 
+// nextRepair is the change that a site's leader makes by itself, or the
+// promotion of a learner, which each leader tries.
+func (s *simulation) nextRepair(leader *place) (raft.Change, bool) {
+	present := configurationOf(leader)
+	if len(present.Learners) > 0 && s.choose(2) == 0 {
+		return raft.Change{Kind: raft.Promote, Member: present.Learners[s.choose(len(present.Learners))]}, true
+	}
+	view := repair.View{Self: leader.member, Hosts: make(map[string]repair.Host), Target: repair.Target(1)}
+	for _, m := range present.Members() {
+		view.Members = append(view.Members, raft.MemberStatus{Member: m, Voter: present.IsVoter(m)})
+	}
+	for _, p := range s.places {
+		if p == leader {
+			continue
+		}
+		h := repair.Host{Replica: p.member.Replica, Alive: true}
+		if p.node == nil || p.frozen || s.cut[[2]string{leader.member.Host, p.member.Host}] || s.cut[[2]string{p.member.Host, leader.member.Host}] {
+			h = repair.Host{Silence: time.Duration(s.choose(2)) * time.Minute}
+		}
+		view.Hosts[p.member.Host] = h
+	}
+	return repair.Next(view)
+}
+
 // configurationOf returns the last membership on a place's disk.
 func configurationOf(p *place) raft.Configuration {
 	for _, e := range slices.Backward(p.stored.Entries) {
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -91,6 +91,8 @@
 type simulation struct {
 	chooser
 	variant raft.Variant
+	// repairs says that the membership is changed as a site's leader does.
+	repairs bool
 	// weights are those of the actions in this schedule.
 	weights     []int
 	totalWeight int
