Let a site's quorum grow from one voter to all it needs at once

Cause of TestLostDiskWhileGrowing: between one voter and three there were two, and two of which one's disk is lost agree on nothing. A sole voter's majorities overlap with any later ones by itself alone, so it may make all learners voters in one entry, once it has synced that entry: before, they could decide without it and it would go on alone after a crash (TestFoundingIsSyncedFirst fails without that).

The schedules now take the promotion from the node, as the replica does.

--- a/internal/raft/append.go
+++ b/internal/raft/append.go
@@ -75,10 +75,20 @@
 	}
 }
 
+// lastToSend returns the last index that members may be sent. A sole voter
+// syncs what makes it one of many before the others have it: they could decide
+// without it, and after a crash it would go on alone.
+func (n *Node) lastToSend() uint64 {
+	if n.founding > n.log.stable {
+		return n.founding - 1
+	}
+	return n.log.lastIndex()
+}
+
 // sendAppends sends the entries from p.next on, as far as the window allows.
 func (n *Node) sendAppends(p *progress) {
 	for !p.paused && !p.sendingSnapshot() && len(p.inflight) < n.cfg.MaxInflight {
-		if p.next > n.log.lastIndex() && !p.probing {
+		if p.next > n.lastToSend() && !p.probing {
 			return
 		}
 		n.sendAppend(p)
@@ -93,7 +103,7 @@
 		n.startSnapshot(p)
 		return
 	}
-	entries := n.log.slice(p.next, n.log.lastIndex(), n.cfg.MaxMessageBytes)
+	entries := n.log.slice(p.next, n.lastToSend(), n.cfg.MaxMessageBytes)
 	n.sendEarly(Message{
 		Kind:     KindAppend,
 		To:       p.member,
--- a/internal/raft/change.go
+++ b/internal/raft/change.go
@@ -19,7 +19,34 @@
 	if err != nil {
 		return 0, 0, fmt.Errorf("change of %v: %w", change.Member, err)
 	}
-	return n.appendEntry(now, Entry{Configuration: &next}), n.term, nil
+	index = n.appendEntry(now, Entry{Configuration: &next})
+	if change.Kind == PromoteAll {
+		n.founding = index
+	}
+	return index, n.term, nil
+}
+
+// Promotion returns the promotion that is due at a leader: of a learner that
+// holds the committed log, or of all at once when that takes a sole voter to
+// Config.FirstVoters.
+func (n *Node) Promotion(now time.Time) (Change, bool) {
+	if n.role != RoleLeader {
+		return Change{}, false
+	}
+	var ready []Member
+	for _, learner := range n.configuration.Learners {
+		if n.caughtUp(learner) && n.isActive(now, learner) {
+			ready = append(ready, learner)
+		}
+	}
+	switch {
+	case len(ready) == 0:
+		return Change{}, false
+	case n.aloneVoter() && n.cfg.FirstVoters > 1:
+		return Change{Kind: PromoteAll}, 1+len(ready) >= n.cfg.FirstVoters
+	default:
+		return Change{Kind: Promote, Member: ready[0]}, true
+	}
 }
 
 func (n *Node) changed(now time.Time, change Change) (Configuration, error) {
@@ -38,6 +65,19 @@
 			return c, ErrNotCaughtUp
 		}
 		return c.with(change.Member, true, false), nil
+	case PromoteAll:
+		if !n.aloneVoter() {
+			return c, ErrInvalidChange
+		}
+		for _, learner := range n.configuration.Learners {
+			if n.caughtUp(learner) && n.isActive(now, learner) {
+				c = c.with(learner, true, false)
+			}
+		}
+		if len(c.Voters) == 1 {
+			return c, ErrNotCaughtUp
+		}
+		return c, nil
 	case Remove:
 		next := c.with(change.Member, false, false)
 		if !c.Contains(change.Member) || len(next.Voters) == 0 {
--- a/internal/raft/directed_test.go
+++ b/internal/raft/directed_test.go
@@ -234,3 +234,40 @@
 	qt.Assert(t, a.node.Status(s.now).Members, qt.HasLen, 2)
 	qt.Assert(t, a.node.Status(s.now).Tolerates(), qt.Equals, 0)
 }
+
+// TestFoundingIsSyncedFirst crashes a sole voter before it has synced the
+// entry that makes it one of three. The others must not hold that entry: they
+// would decide by it while the first goes on alone.
+func TestFoundingIsSyncedFirst(t *testing.T) {
+	tests := []struct {
+		name string
+		stop stops
+		want int
+	}{
+		{"crash before the sync", stopBeforeSave, 1},
+		{"no crash", stopNever, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newDirected("", 1, 3)
+			a, b, c := s.places[0], s.places[1], s.places[2]
+			s.exchange(5, a, b, c)
+			for _, p := range []*place{b, c} {
+				_, _, err := a.node.ProposeChange(s.now, raft.Change{Kind: raft.AddLearner, Member: p.member})
+				qt.Assert(t, err, qt.IsNil)
+				s.exchange(5, a, b, c)
+			}
+			_, _, err := a.node.ProposeChange(s.now, raft.Change{Kind: raft.PromoteAll})
+			qt.Assert(t, err, qt.IsNil)
+			s.work(a, test.stop)
+			for len(s.network) > 0 {
+				s.hand(s.take(0), stopNever)
+			}
+			for _, p := range s.places {
+				got := len(configurationOf(p).Voters)
+				qt.Check(t, got, qt.Equals, test.want, qt.Commentf("%v", p.member))
+			}
+			qt.Check(t, s.violation, qt.Equals, "")
+		})
+	}
+}
--- a/internal/raft/member.go
+++ b/internal/raft/member.go
@@ -95,10 +95,14 @@
 	Promote
 	// Remove takes a voter or a learner out.
 	Remove
+	// PromoteAll makes all learners that hold the committed log voters at once.
+	// Only a sole voter may: all later majorities overlap with it alone.
+	PromoteAll
 )
 
-// Change is a change of one member.
+// Change is a change of one member, or of all learners.
 type Change struct {
-	Kind   ChangeKind
+	Kind ChangeKind
+	// Member is unset for PromoteAll.
 	Member Member
 }
--- a/internal/raft/property_test.go
+++ b/internal/raft/property_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"oleanderramp/internal/raft"
+	"oleanderramp/internal/repair"
 )
 
 const (
@@ -83,15 +84,27 @@
 	qt.Check(t, reached > scheduleCount/10, qt.IsTrue)
 }
 
+// toleratedLosses is what the repairing quorums bear at once.
+const toleratedLosses = 1
+
+// runRepairs runs a quorum that begins with one voter and repairs itself.
+func runRepairs(seed uint64, firstVoters int) *simulation {
+	s := newSimulation(seeded(seed), "", 1, 3+int(seed%3))
+	s.repairs, s.firstVoters = true, firstVoters
+	for _, p := range s.places {
+		s.start(p)
+	}
+	s.run(scheduleSteps)
+	return s
+}
+
 // TestRepairSchedules runs the schedules, lost disks, cuts and heals among
 // them, on quorums that begin with one voter and repair themselves.
 func TestRepairSchedules(t *testing.T) {
 	var mu sync.Mutex
 	var total simulation
 	forSeeds(scheduleCount, func(seed uint64) bool {
-		s := newSimulation(seeded(seed), "", 1, 3+int(seed%3))
-		s.repairs = true
-		s.run(scheduleSteps)
+		s := runRepairs(seed, repair.Target(toleratedLosses))
 		mu.Lock()
 		defer mu.Unlock()
 		total.commits += s.commits
@@ -106,13 +119,12 @@
 }
 
 // TestLostDiskWhileGrowing runs the seeds of TestRepairSchedules beyond its own
-// that have failed: the second voter loses its disk in the moment in which it
-// becomes one, and two voters of which one is gone agree on nothing.
+// that have failed while the quorum grew one by one: the second voter loses its
+// disk in the moment in which it becomes one, and two voters of which one is
+// gone agree on nothing.
 func TestLostDiskWhileGrowing(t *testing.T) {
-	for _, seed := range []uint64{3937, 4172, 5049, 5721, 5871, 6024, 6398, 6870, 6937} {
-		s := newSimulation(seeded(seed), "", 1, 3+int(seed%3))
-		s.repairs = true
-		s.run(scheduleSteps)
+	for _, seed := range []uint64{3937, 4172, 5049, 5721, 5871, 6024, 6398, 6870, 6937, 1902, 8681, 16136, 28851} {
+		s := runRepairs(seed, repair.Target(toleratedLosses))
 		qt.Check(t, s.violation, qt.Equals, "", qt.Commentf("seed %d", seed))
 	}
 }
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -44,6 +44,9 @@
 	// least; it waits up to twice that.
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
+	// FirstVoters is the number of voters to which a quorum of one grows at
+	// once: of two voters neither may be lost. Up to 1, it grows one by one.
+	FirstVoters int
 	// MaxMessageBytes bounds the entries or snapshot data of one message; a
 	// single larger entry is sent alone.
 	MaxMessageBytes int
@@ -150,6 +153,8 @@
 	// uncommitted is the size of the entries that wait for a majority, in
 	// bytes.
 	uncommitted int
+	// founding is the index of the last PromoteAll of this node; 0 for none.
+	founding uint64
 	// transferee was asked to take over the lead; zero for none.
 	transferee       Member
 	transferDeadline time.Time
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -86,7 +86,9 @@
 		n.output.stored = r.HardState
 	}
 	if len(r.Entries) > 0 {
+		held := n.founding > n.log.stable
 		n.log.stable = r.Entries[len(r.Entries)-1].Index
+		n.output.broadcast = n.output.broadcast || held && n.founding <= n.log.stable
 	}
 	if len(r.Committed) > 0 {
 		n.log.delivered = r.Committed[len(r.Committed)-1].Index
--- a/internal/raft/schedule_test.go
+++ b/internal/raft/schedule_test.go
@@ -297,9 +297,9 @@
 func (s *simulation) nextRepair(leader *place) (raft.Change, bool) {
 	present := configurationOf(leader)
 	if len(present.Learners) > 0 && s.choose(2) == 0 {
-		return raft.Change{Kind: raft.Promote, Member: present.Learners[s.choose(len(present.Learners))]}, true
+		return leader.node.Promotion(s.now)
 	}
-	view := repair.View{Self: leader.member, Hosts: make(map[string]repair.Host), Target: repair.Target(1)}
+	view := repair.View{Self: leader.member, Hosts: make(map[string]repair.Host), Target: repair.Target(toleratedLosses)}
 	for _, m := range present.Members() {
 		view.Members = append(view.Members, raft.MemberStatus{Member: m, Voter: present.IsVoter(m)})
 	}
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -93,6 +93,8 @@
 	variant raft.Variant
 	// repairs says that the membership is changed as a site's leader does.
 	repairs bool
+	// firstVoters is the nodes' Config.FirstVoters.
+	firstVoters int
 	// weights are those of the actions in this schedule.
 	weights     []int
 	totalWeight int
@@ -168,7 +170,7 @@
 	stored.Entries = slices.Clone(stored.Entries)
 	node, err := raft.New(s.now, raft.Config{
 		Self: p.member, ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatInterval,
-		MaxMessageBytes: s.messageBytes, MaxInflight: 3, Random: rand.New(rand.NewPCG(p.member.Replica, uint64(s.clock))),
+		MaxMessageBytes: s.messageBytes, MaxInflight: 3, FirstVoters: s.firstVoters, Random: rand.New(rand.NewPCG(p.member.Replica, uint64(s.clock))),
 	}, stored)
 	if err != nil {
 		panic(err)
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -118,16 +118,10 @@
 // tick lets the time pass and promotes learners that have caught up.
 func (d *driver) tick(now time.Time) {
 	d.node.Tick(now)
-	status := d.node.Status(now)
-	if status.Role != raft.RoleLeader || status.ChangePending {
-		return
-	}
-	for _, m := range status.Members {
-		if !m.Voter && m.CaughtUp && m.Active {
-			// A refusal is tried again at the next tick.
-			_, _, _ = d.node.ProposeChange(now, raft.Change{Kind: raft.Promote, Member: m.Member})
-			return
-		}
+	if change, due := d.node.Promotion(now); due {
+		// A refusal, as while another change is pending, is tried again at the
+		// next tick.
+		_, _, _ = d.node.ProposeChange(now, change)
 	}
 }
 
--- a/internal/site/quorum.go
+++ b/internal/site/quorum.go
@@ -40,7 +40,10 @@
 	if err != nil {
 		return err
 	}
-	cfg := replica.Config{Join: !c.begins(), Raft: raft.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}}
+	cfg := replica.Config{Join: !c.begins(), Raft: raft.Config{
+		FirstVoters: repair.Target(c.settings.ToleratedHosts),
+		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}}
 	if c.begins() {
 		cfg.Bootstrap = []raft.Member{storage.Identity()}
 	}
