Tell signs of life of endpoints only where they are needed

Cause: each announcement was a change of the directory, so with 146 endpoints each router got some 120 whole entries a second from each of five control hosts, most of them in other regions, and rebuilt its list of endpoints ten times a second. Control hosts also passed on to each other what each had from all.

Now a router hears signs of life from its primary alone, and from the others changes and one sign of life in 20 s; control hosts pass on what they were told first. A router rebuilds its list on changes only, under the lock that orders them. Cached prompt parts go between control hosts in the same way.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -204,6 +204,15 @@
 	}
 }
 
+// Renew takes when endpoints have last announced themselves.
+func (b *Balancer) Renew(entries []directory.Entry) {
+	for _, entry := range entries {
+		if e, ok := b.endpoints[entry.ID]; ok && e.entry.Born.Equal(entry.Born) {
+			e.entry.Heard = entry.Heard
+		}
+	}
+}
+
 // SetOthers replaces the work of the other routers.
 func (b *Balancer) SetOthers(now time.Time, loads map[string]Load) {
 	for id, e := range b.endpoints {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -17,6 +17,9 @@
 	// rebornAfter is how long an endpoint that tells no time of birth must be
 	// silent for a lower sequence number to mean a new start.
 	rebornAfter = 4 * time.Second
+	// spreadAfter is how long a sign of life is no change, well below
+	// forgetAfter.
+	spreadAfter = 20 * time.Second
 )
 
 // Entry is what an endpoint last announced.
@@ -50,6 +53,30 @@
 type record struct {
 	Entry
 	revision uint64
+	// changed is the revision of the last change that is more than a sign of
+	// life, or of the first sign of life after long, which came at spread.
+	changed uint64
+	spread  time.Time
+	// direct says that the endpoint told this daemon itself.
+	direct bool
+}
+
+// Scope says which entries are meant.
+type Scope int
+
+// The scopes.
+const (
+	// All entries.
+	All Scope = iota
+	// Direct entries are changes, and the signs of life that endpoints gave to
+	// this daemon itself.
+	Direct
+	// Changes are entries with more news than a sign of life.
+	Changes
+)
+
+func (s Scope) holds(r *record, revision uint64) bool {
+	return r.changed > revision || r.revision > revision && (s == All || s == Direct && r.direct)
 }
 
 // New returns an empty directory.
@@ -68,23 +95,32 @@
 	Renewed
 	// Joined says that the endpoint is new, or has started again.
 	Joined
+	// Changed says that the endpoint is there as before, at another address or
+	// with other slots.
+	Changed
 	// Left says that the endpoint gets no new work from now on.
 	Left
 )
 
 func (c Change) String() string {
-	return [...]string{"stale", "renewed", "joined", "left"}[c]
+	return [...]string{"stale", "renewed", "joined", "changed", "left"}[c]
 }
 
-// Merge takes an entry from an endpoint or from another directory.
-func (d *Directory) Merge(e Entry) Change {
+// Announce takes an entry from an endpoint.
+func (d *Directory) Announce(e Entry) Change { return d.merge(e, true) }
+
+// Merge takes an entry from another directory.
+func (d *Directory) Merge(e Entry) Change { return d.merge(e, false) }
+
+func (d *Directory) merge(e Entry, direct bool) Change {
 	held, ok := d.entries[e.ID]
 	if !ok || e.newStart(held.Entry) {
-		d.store(e)
+		change := Joined
 		if e.Leaving {
-			return Left
+			change = Left
 		}
-		return Joined
+		d.store(e, direct, change)
+		return change
 	}
 	if e.Born.Before(held.Born) {
 		return Stale
@@ -97,11 +133,15 @@
 		e = held.Entry
 	}
 	e.Leaving = e.Leaving || leaves || held.Leaving
-	d.store(e)
-	if leaves {
-		return Left
+	change := Renewed
+	switch {
+	case leaves:
+		change = Left
+	case e.Address != held.Address || e.Slots != held.Slots || e.Service != held.Service || e.Zone != held.Zone:
+		change = Changed
 	}
-	return Renewed
+	d.store(e, direct, change)
+	return change
 }
 
 // newStart tells whether e is of a later start than held.
@@ -112,9 +152,13 @@
 	return e.Born.After(held.Born)
 }
 
-func (d *Directory) store(e Entry) {
+func (d *Directory) store(e Entry, direct bool, change Change) {
 	d.revision++
-	d.entries[e.ID] = &record{Entry: e, revision: d.revision}
+	r := &record{Entry: e, revision: d.revision, changed: d.revision, spread: e.Heard, direct: direct}
+	if held, ok := d.entries[e.ID]; ok && change == Renewed && e.Heard.Sub(held.spread) < spreadAfter {
+		r.changed, r.spread = held.changed, held.spread
+	}
+	d.entries[e.ID] = r
 }
 
 // Leave records that the endpoint leaves, as it says by itself. born is zero
@@ -126,14 +170,14 @@
 		if born.IsZero() {
 			born = now
 		}
-		return d.Merge(Entry{ID: id, Born: born, Leaving: true, Heard: now})
+		return d.Announce(Entry{ID: id, Born: born, Leaving: true, Heard: now})
 	}
 	if born.IsZero() {
 		born = held.Born
 	}
 	e := held.Entry
 	e.Born, e.Leaving, e.Heard = born, true, now
-	return d.Merge(e)
+	return d.Announce(e)
 }
 
 // Forget removes the entries that were silent for long.
@@ -148,11 +192,11 @@
 // Revision returns the number of the last change.
 func (d *Directory) Revision() uint64 { return d.revision }
 
-// Since returns the entries that changed after the revision, by id.
-func (d *Directory) Since(revision uint64) []Entry {
+// Since returns the entries of the scope with news after the revision, by id.
+func (d *Directory) Since(revision uint64, scope Scope) []Entry {
 	var list []Entry
 	for _, r := range d.entries {
-		if r.revision > revision {
+		if scope.holds(r, revision) {
 			list = append(list, r.Entry)
 		}
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -112,7 +112,7 @@
 		}
 		for _, e := range rapid.Permutation(entries).Draw(t, "order") {
 			relay.Merge(e)
-			for _, news := range relay.Since(0) {
+			for _, news := range relay.Since(0, directory.Changes) {
 				two.Merge(news)
 			}
 		}
@@ -121,3 +121,44 @@
 		}
 	})
 }
+
+// TestScopes checks that signs of life go no further than they must, and
+// changes everywhere.
+func TestScopes(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	ids := func(revision uint64, scope directory.Scope) []string {
+		got := []string{}
+		for _, e := range d.Since(revision, scope) {
+			got = append(got, e.ID)
+		}
+		return got
+	}
+	own, other := entry("own", 0, 1), entry("other", 0, 1)
+	c.Check(d.Announce(own), qt.Equals, directory.Joined)
+	c.Check(d.Merge(other), qt.Equals, directory.Joined)
+	for _, scope := range []directory.Scope{directory.All, directory.Direct, directory.Changes} {
+		c.Check(ids(0, scope), qt.DeepEquals, []string{"other", "own"})
+	}
+
+	revision := d.Revision()
+	own.Sequence, own.Heard = 2, at(1)
+	other.Sequence, other.Heard = 2, at(1)
+	c.Check(d.Announce(own), qt.Equals, directory.Renewed)
+	c.Check(d.Merge(other), qt.Equals, directory.Renewed)
+	c.Check(ids(revision, directory.All), qt.DeepEquals, []string{"other", "own"})
+	c.Check(ids(revision, directory.Direct), qt.DeepEquals, []string{"own"})
+	c.Check(ids(revision, directory.Changes), qt.DeepEquals, []string{})
+
+	// The first sign of life after long must not let others forget it.
+	other.Sequence, other.Heard = 3, at(20)
+	d.Merge(other)
+	c.Check(ids(revision, directory.Changes), qt.DeepEquals, []string{"other"})
+
+	revision = d.Revision()
+	other.Sequence, other.Slots = 4, 9
+	c.Check(d.Merge(other), qt.Equals, directory.Changed)
+	own.Sequence, own.Leaving = 3, true
+	c.Check(d.Announce(own), qt.Equals, directory.Left)
+	c.Check(ids(revision, directory.Changes), qt.DeepEquals, []string{"other", "own"})
+}
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -109,6 +109,13 @@
 	g.placeWaiting(now)
 }
 
+// Renew takes that endpoints have announced themselves without any change.
+func (g *Gate) Renew(entries []directory.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.balancer.Renew(entries)
+}
+
 // SetOthers takes the work and the use of shares of the other routers, and
 // what endpoints have read for them.
 func (g *Gate) SetOthers(now time.Time, loads map[string]balance.Load, uses []share.Use, read []prefixes.Entry) {
--- a/internal/prefixes/prefixes.go
+++ b/internal/prefixes/prefixes.go
@@ -41,13 +41,21 @@
 type record struct {
 	used     time.Time
 	revision uint64
+	// reported entries did not come from another index.
+	reported bool
 }
 
 // New returns an empty index.
 func New() *Index { return &Index{entries: make(map[pair]record)} }
 
-// Merge takes an entry, and returns true when it is news.
-func (x *Index) Merge(now time.Time, e Entry) bool {
+// Report takes an entry from the daemon that sent the request, and returns true
+// when it is news.
+func (x *Index) Report(now time.Time, e Entry) bool { return x.merge(now, e, true) }
+
+// Merge takes an entry from another index, and returns true when it is news.
+func (x *Index) Merge(now time.Time, e Entry) bool { return x.merge(now, e, false) }
+
+func (x *Index) merge(now time.Time, e Entry, reported bool) bool {
 	key := pair{key: e.Key, endpoint: e.Endpoint}
 	held, ok := x.entries[key]
 	if now.Sub(e.Used) >= keepFor || ok && e.Used.Sub(held.used) < refreshAfter {
@@ -57,7 +65,7 @@
 		return false
 	}
 	x.revision++
-	x.entries[key] = record{used: e.Used, revision: x.revision}
+	x.entries[key] = record{used: e.Used, revision: x.revision, reported: reported}
 	return true
 }
 
@@ -75,13 +83,18 @@
 
 // Since returns the entries that changed after the revision, in the order of
 // their changes.
-func (x *Index) Since(revision uint64) []Entry {
+func (x *Index) Since(revision uint64) []Entry { return x.since(revision, false) }
+
+// ReportedSince is Since without what came from other indexes.
+func (x *Index) ReportedSince(revision uint64) []Entry { return x.since(revision, true) }
+
+func (x *Index) since(revision uint64, reported bool) []Entry {
 	if revision >= x.revision {
 		return nil
 	}
 	var list []Entry
 	for key, r := range x.entries {
-		if r.revision > revision {
+		if r.revision > revision && (r.reported || !reported) {
 			list = append(list, Entry{Key: key.key, Endpoint: key.endpoint, Used: r.used})
 		}
 	}
--- a/internal/prefixes/prefixes_test.go
+++ b/internal/prefixes/prefixes_test.go
@@ -42,3 +42,15 @@
 	// What comes in that late is not taken.
 	c.Check(x.Merge(at(60), prefixes.Entry{Key: 1, Endpoint: "a", Used: at(30)}), qt.IsFalse)
 }
+
+// TestReported checks that what came from another index is not passed on to
+// others.
+func TestReported(t *testing.T) {
+	c := qt.New(t)
+	x := prefixes.New()
+	reported, merged := prefixes.Entry{Key: 1, Endpoint: "a", Used: at(0)}, prefixes.Entry{Key: 2, Endpoint: "a", Used: at(0)}
+	x.Report(at(0), reported)
+	x.Merge(at(0), merged)
+	c.Check(x.Since(0), qt.DeepEquals, []prefixes.Entry{reported, merged})
+	c.Check(x.ReportedSince(0), qt.DeepEquals, []prefixes.Entry{reported})
+}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -135,7 +135,7 @@
 	entry.Heard, entry.Region = now, c.settings.RegionOf(entry.Zone)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	change := c.directory.Merge(entry)
+	change := c.directory.Announce(entry)
 	logChange(c.log, change, entry, "announcement")
 	return change
 }
--- a/internal/site/endpointsfile.go
+++ b/internal/site/endpointsfile.go
@@ -106,7 +106,7 @@
 	return func(context.Context) {
 		now := time.Now()
 		c.mu.Lock()
-		revision, entries := c.directory.Revision(), c.directory.Since(0)
+		revision, entries := c.directory.Revision(), c.directory.Since(0, directory.All)
 		c.mu.Unlock()
 		if revision == saved {
 			return
--- a/internal/site/exchange.go
+++ b/internal/site/exchange.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"oleanderramp/internal/directory"
 	"oleanderramp/internal/edge"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/peer"
@@ -49,7 +50,9 @@
 		Responder: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)),
 		DirectoryEpoch: c.self.GetIncarnation(), DirectoryRevision: c.directory.Revision(),
 	}
-	c.takeCached(now, request.GetCached())
+	for _, e := range cachedFromWire(now, request.GetCached()) {
+		c.cached.Report(now, e)
+	}
 	if request.GetControl() == nil {
 		c.takeCrashers(now, request.GetCrashers())
 	}
@@ -58,9 +61,18 @@
 	if request.GetDirectoryEpoch() != c.self.GetIncarnation() {
 		since, cachedSince = 0, 0
 	}
-	response.Endpoints = entriesToWire(now, c.directory.Since(since))
+	// Each control host hears from each other one, so it passes on only what it
+	// was told first; a router hears the signs of life from its primary.
+	scope, cached := directory.All, c.cached.Since
+	switch {
+	case request.GetControl() != nil:
+		scope, cached = directory.Direct, c.cached.ReportedSince
+	case request.GetLoad() == nil:
+		scope = directory.Changes
+	}
+	response.Endpoints = entriesToWire(now, c.directory.Since(since, scope))
 	if request.GetLoad() != nil {
-		response.CacheRevision, response.Cached = c.cached.Revision(), cachedToWire(now, c.cached.Since(cachedSince))
+		response.CacheRevision, response.Cached = c.cached.Revision(), cachedToWire(now, cached(cachedSince))
 	}
 	if routing := c.store.Routing(); routing.GetVersion() > 0 {
 		response.RoutingVersion = routing.GetVersion()
@@ -74,13 +86,6 @@
 	return response
 }
 
-// takeCached takes what endpoints have read. c.mu is held.
-func (c *control) takeCached(now time.Time, list []*wire.CachedPart) {
-	for _, e := range cachedFromWire(now, list) {
-		c.cached.Merge(now, e)
-	}
-}
-
 // takeCrashers takes what a router has found, and what another control host
 // passes on. c.mu is held.
 func (c *control) takeCrashers(now time.Time, list []*wire.Crasher) {
@@ -182,7 +187,9 @@
 	c.marks[address] = mark{
 		epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: response.GetCacheRevision(),
 	}
-	c.takeCached(now, response.GetCached())
+	for _, e := range cachedFromWire(now, response.GetCached()) {
+		c.cached.Merge(now, e)
+	}
 	c.takeCrashers(now, response.GetCrashers())
 	c.directory.Forget(now)
 	c.cached.Forget(now)
--- a/internal/site/routersync.go
+++ b/internal/site/routersync.go
@@ -139,6 +139,7 @@
 
 // take takes in a control host's answer.
 func (r *router) take(now time.Time, host string, response *wire.SyncResponse, primary bool) {
+	newTable := r.adopt(response, host)
 	r.mu.Lock()
 	if r.hosts.Heard(now, hostFromWire(response.GetResponder())) {
 		event.PeerUp.Log(r.log, event.Fields{"peer": host, "incarnation": response.GetResponder().GetIncarnation()})
@@ -147,31 +148,36 @@
 		r.hosts.Mentioned(now, hostFromWire(h))
 	}
 	changed := false
+	var renewed []directory.Entry
 	for _, e := range response.GetEndpoints() {
 		entry := entryFromWire(now, e)
 		change := r.directory.Merge(entry)
 		logChange(r.log, change, entry, host)
-		changed = changed || change != directory.Stale
+		switch change {
+		case directory.Stale:
+		case directory.Renewed:
+			renewed = append(renewed, entry)
+		default:
+			changed = true
+		}
 	}
 	r.directory.Forget(now)
-	r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: r.marks[host].cache}
-	if primary {
-		r.marks[host] = mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: response.GetCacheRevision()}
-	}
-	usable := r.directory.Usable()
+	at := mark{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: r.marks[host].cache}
 	if primary {
+		at.cache = response.GetCacheRevision()
 		r.routers = int(response.GetLoad().GetRouters())
 	}
-	r.mu.Unlock()
-
-	r.forwarder.AdoptCrashers(now, crashersFromWire(now, response.GetCrashers()))
-	if changed {
-		r.forwarder.Announced(now, usable)
-	}
-	newTable := r.adopt(response, host)
+	r.marks[host] = at
+	// Under the lock, so that what is older does not come last.
 	if table := r.Table(); table != nil && (changed || newTable) {
+		usable := r.directory.Usable()
+		r.forwarder.Announced(now, usable)
 		r.gate.Update(now, usable, table, r.settings.ShareWindow())
 	}
+	r.gate.Renew(renewed)
+	r.mu.Unlock()
+
+	r.forwarder.AdoptCrashers(now, crashersFromWire(now, response.GetCrashers()))
 	if primary {
 		loads, uses := reportFromWire(response.GetLoad())
 		r.gate.SetOthers(now, loads, uses, cachedFromWire(now, response.GetCached()))
