Let a control host of a site go on after damage to its disk

Cause: the soak left bytes at the end of a log that no write had left there; the control host took them for damage, as it should, and then ended at each start for good. Its quorum can replace it as it does a lost disk: the damaged files are set aside, the identity first, so that nothing votes under the old number without its log, and the host joins under a new one.

--- a/internal/disk/recover.go
+++ b/internal/disk/recover.go
@@ -25,7 +25,7 @@
 		}
 	}
 	names = slices.DeleteFunc(names, func(name string) bool {
-		return strings.HasSuffix(name, temporarySuffix)
+		return strings.HasSuffix(name, temporarySuffix) || strings.HasSuffix(name, asideSuffix)
 	})
 	if err := s.recoverIdentity(names); err != nil {
 		return err
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -82,6 +82,7 @@
 	RoutingRefused    = define(520, log.WarnLevel, "order on the routing table refused")
 	RoutingInForce    = define(521, log.InfoLevel, "routing table in force")
 	RoutingUnreadable = define(522, log.ErrorLevel, "routing table unreadable")
+	DamageSetAside    = define(523, log.ErrorLevel, "damaged files set aside")
 )
 
 // Membership.
--- a/internal/site/quorum.go
+++ b/internal/site/quorum.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"oleanderramp/internal/disk"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/raft"
 	"oleanderramp/internal/repair"
@@ -34,17 +35,23 @@
 
 // startReplica opens the data folder and starts the replica. At the first
 // start of the site, one of the seeds begins the quorum; at any other, a
-// replica without data waits until it is added.
+// replica without data, or with damaged data, waits until it is added.
 func (c *control) startReplica() error {
+	begins := c.begins()
 	storage, err := statehost.OpenStorage(c.settings.DataFolder, c.settings.PeerAddress(), c.log)
+	var damage *disk.DamageError
+	if errors.As(err, &damage) {
+		begins = false
+		storage, err = statehost.ReplaceStorage(c.settings.DataFolder, c.settings.PeerAddress(), c.log)
+	}
 	if err != nil {
 		return err
 	}
-	cfg := replica.Config{Join: !c.begins(), Raft: raft.Config{
+	cfg := replica.Config{Join: !begins, Raft: raft.Config{
 		FirstVoters: repair.Target(c.settings.ToleratedHosts),
 		Random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}}
-	if c.begins() {
+	if begins {
 		cfg.Bootstrap = []raft.Member{storage.Identity()}
 	}
 	c.replica, err = replica.New(cfg, storage, c.store, c.replicator)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -256,6 +256,37 @@
 	c.Check(got, qt.Equals, order(4, "kept"))
 }
 
+// TestDamagedDiskIsReplaced damages the middle of a control host's log. It must
+// vote again under another number, and keep the damaged files.
+func TestDamagedDiskIsReplaced(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 3)
+	s.replace(0, order(1, "kept"))
+	// The first seed would begin a quorum if it took its start for the first.
+	damaged := s.controls[0]
+	c.Assert(damaged.daemon.Close(), qt.IsNil)
+	segments, err := filepath.Glob(filepath.Join(damaged.settings.DataFolder, "log-*"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(segments, qt.HasLen, 1)
+	content, err := os.ReadFile(segments[0])
+	c.Assert(err, qt.IsNil)
+	content[len(content)/2] ^= 1
+	c.Assert(os.WriteFile(segments[0], content, 0o600), qt.IsNil)
+
+	s.controls[0] = s.start(0, true)
+	s.eventually("the new replica votes in place of the damaged one", func() bool {
+		voters, votes := s.controls[0].daemon.Voters()
+		return votes && voters == 3
+	})
+	status, got := s.read(0)
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(got, qt.Equals, order(1, "kept"))
+	aside, err := os.ReadFile(segments[0] + ".damaged")
+	c.Assert(err, qt.IsNil)
+	c.Check(string(aside), qt.Equals, string(content))
+}
+
 // TestMinorityConfirmsNothing checks that one of three control hosts neither
 // acknowledges an order nor answers a read, and begins no quorum of its own
 // when its disk is lost besides.
