Add a soak: real processes, faults from outside, promises checked

cmd/soak and internal/soak run control hosts and routers as processes over relays on loopback, kill, stop, pause and restart them, cut, hold, delay, reset and silence their connections one way or both, lose, damage and tear their disks, change their settings, and let endpoints crash, leave, fail and come back as another service while two operators race. What callers, endpoints and operators see is checked. TestChecksCatch plants a broken promise each.

The relay of sessions moved to internal/relay, with tests, and can hold and delay now. platform/outside speaks the callers', endpoints' and operators' side. A site daemon can listen for others at another address than it tells (listen.peers): relays stand between.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -43,6 +43,8 @@
 	// lookup finds a host by its name.
 	lookup  func(name string) (Host, bool)
 	options []grpc.DialOption
+	// source is where connections come from; nil for any address.
+	source net.Addr
 	// within and across count the traffic within the region and to others.
 	within, across Traffic
 
@@ -62,9 +64,13 @@
 }
 
 // NewAddressDialer returns a dialer for hosts whose names are their peer
-// addresses.
-func NewAddressDialer(tlsConfig *tls.Config) *Dialer {
-	return newDialer(func(name string) (Host, bool) { return Host{Address: name}, true }, tlsConfig)
+// addresses. It connects from the source IP unless that is empty.
+func NewAddressDialer(tlsConfig *tls.Config, source string) *Dialer {
+	d := newDialer(func(name string) (Host, bool) { return Host{Address: name}, true }, tlsConfig)
+	if source != "" {
+		d.source = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	return d
 }
 
 func newDialer(lookup func(string) (Host, bool), tlsConfig *tls.Config) *Dialer {
@@ -124,7 +130,7 @@
 		traffic = &d.across
 	}
 	return func(ctx context.Context, address string) (net.Conn, error) {
-		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		conn, err := (&net.Dialer{LocalAddr: d.source}).DialContext(ctx, "tcp", address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/raft/change.go
+++ b/internal/raft/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -33,12 +34,7 @@
 	if n.role != RoleLeader {
 		return Change{}, false
 	}
-	var ready []Member
-	for _, learner := range n.configuration.Learners {
-		if n.caughtUp(learner) && n.isActive(now, learner) {
-			ready = append(ready, learner)
-		}
-	}
+	ready := n.readyLearners(now)
 	switch {
 	case len(ready) == 0:
 		return Change{}, false
@@ -61,7 +57,7 @@
 		if !c.IsLearner(change.Member) {
 			return c, ErrInvalidChange
 		}
-		if !n.caughtUp(change.Member) || !n.isActive(now, change.Member) {
+		if !slices.Contains(n.readyLearners(now), change.Member) {
 			return c, ErrNotCaughtUp
 		}
 		return c.with(change.Member, true, false), nil
@@ -69,12 +65,11 @@
 		if !n.aloneVoter() {
 			return c, ErrInvalidChange
 		}
-		for _, learner := range n.configuration.Learners {
-			if n.caughtUp(learner) && n.isActive(now, learner) {
-				c = c.with(learner, true, false)
-			}
+		ready := n.readyLearners(now)
+		for _, learner := range ready {
+			c = c.with(learner, true, false)
 		}
-		if len(c.Voters) == 1 {
+		if len(ready) == 0 {
 			return c, ErrNotCaughtUp
 		}
 		return c, nil
@@ -91,6 +86,13 @@
 	return c, ErrInvalidChange
 }
 
+// readyLearners returns the learners that hold the committed log and answer.
+func (n *Node) readyLearners(now time.Time) []Member {
+	return filter(n.configuration.Learners, func(learner Member) bool {
+		return n.caughtUp(learner) && n.isActive(now, learner)
+	})
+}
+
 // caughtUp tells whether a member holds the whole committed log.
 func (n *Node) caughtUp(member Member) bool {
 	p := n.progress(member)
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,250 @@
+// Package relay carries TCP connections to one target over loopback, and
+// spoils them: it breaks, resets, delays, holds and silences them. Tests and
+// the soak put it between processes.
+package relay
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the connection to the target.
+	dialTimeout = 2 * time.Second
+	// chunkBytes is how much is read at once.
+	chunkBytes = 32 << 10
+)
+
+// All stands for all sources.
+const All = ""
+
+// Relay forwards connections to its target. Its faults apply to the
+// connections of one source, by its IP, or of All. It is safe for concurrent
+// use.
+type Relay struct {
+	listener net.Listener
+	target   string
+	group    sync.WaitGroup
+
+	// mu guards what follows.
+	mu sync.Mutex
+	// rules holds the lasting faults by source.
+	rules map[string]rule
+	// changed is closed and replaced when rules change.
+	changed chan struct{}
+	pairs   map[*pair]bool
+	closed  bool
+}
+
+// rule is what lasts until Heal.
+type rule struct {
+	refuse  bool
+	swallow bool
+	// holdIn and holdOut keep bytes to and from the target back.
+	holdIn, holdOut bool
+	delay           time.Duration
+}
+
+// with returns both rules in one.
+func (r rule) with(other rule) rule {
+	return rule{
+		refuse: r.refuse || other.refuse, swallow: r.swallow || other.swallow,
+		holdIn: r.holdIn || other.holdIn, holdOut: r.holdOut || other.holdOut, delay: max(r.delay, other.delay),
+	}
+}
+
+// pair is an open connection and its continuation to the target.
+type pair struct {
+	source string
+	near   net.Conn
+	// far is nil until the target has answered.
+	far net.Conn
+	// silent pairs swallow all bytes for good, and neither side learns that
+	// the other has closed.
+	silent bool
+}
+
+func (p *pair) close() {
+	_ = p.near.Close() // It may be closed already.
+	if p.far != nil {
+		_ = p.far.Close() // As above.
+	}
+}
+
+// New returns a relay from the listener to the target. Close ends it.
+func New(listener net.Listener, target string) *Relay {
+	r := &Relay{
+		listener: listener, target: target, rules: make(map[string]rule), changed: make(chan struct{}), pairs: make(map[*pair]bool),
+	}
+	r.group.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r.group.Go(func() { r.serve(conn) })
+		}
+	})
+	return r
+}
+
+// Address returns where the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// change changes the rule of a source.
+func (r *Relay) change(source string, f func(*rule)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := r.rules[source]
+	f(&changed)
+	r.rules[source] = changed
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// each calls f for the open pairs of the source.
+func (r *Relay) each(source string, f func(*pair)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		if source == All || p.source == source {
+			f(p)
+		}
+	}
+}
+
+// Cut breaks the open connections, and new ones until Heal.
+func (r *Relay) Cut(source string) {
+	r.change(source, func(rule *rule) { rule.refuse = true })
+	r.each(source, (*pair).close)
+}
+
+// Reset breaks the open connections by a reset.
+func (r *Relay) Reset(source string) {
+	r.each(source, func(p *pair) {
+		for _, conn := range []net.Conn{p.near, p.far} {
+			if tcp, ok := conn.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // It may be closed already.
+			}
+		}
+		p.close()
+	})
+}
+
+// Silence makes the open connections silent for good; new ones work.
+func (r *Relay) Silence(source string) { r.each(source, func(p *pair) { p.silent = true }) }
+
+// Isolate makes the open connections silent for good, and new ones until Heal.
+func (r *Relay) Isolate(source string) {
+	r.change(source, func(rule *rule) { rule.swallow = true })
+	r.Silence(source)
+}
+
+// Hold keeps back the bytes to the target or those from it until Heal.
+func (r *Relay) Hold(source string, in, out bool) {
+	r.change(source, func(rule *rule) { rule.holdIn, rule.holdOut = in, out })
+}
+
+// Delay delays all bytes until Heal.
+func (r *Relay) Delay(source string, d time.Duration) {
+	r.change(source, func(rule *rule) { rule.delay = d })
+}
+
+// Heal ends the lasting faults of the source.
+func (r *Relay) Heal(source string) { r.change(source, func(changed *rule) { *changed = rule{} }) }
+
+// Close ends the relay and its connections, and waits.
+func (r *Relay) Close() {
+	_ = r.listener.Close() // Accept ends in any case.
+	r.mu.Lock()
+	r.closed = true
+	clear(r.rules)
+	r.mu.Unlock()
+	r.Heal(All) // It wakes what is held.
+	r.each(All, (*pair).close)
+	r.group.Wait()
+}
+
+// state returns the rule for a pair, whether it is silent, and what is closed
+// when the rules change.
+func (r *Relay) state(p *pair) (rule, bool, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rules[All].with(r.rules[p.source]), p.silent, r.changed
+}
+
+func (r *Relay) serve(conn net.Conn) {
+	source, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	p := &pair{source: source, near: conn}
+	defer r.forget(p)
+	if !r.admit(p) {
+		return
+	}
+	far, err := net.DialTimeout("tcp", r.target, dialTimeout)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	p.far = far
+	closed := r.closed
+	r.mu.Unlock()
+	if closed {
+		return
+	}
+	var out sync.WaitGroup
+	out.Go(func() { r.forward(p, far, conn, func(now rule) bool { return now.holdOut }) })
+	r.forward(p, conn, far, func(now rule) bool { return now.holdIn })
+	out.Wait()
+}
+
+// admit takes up a new pair unless it is refused.
+func (r *Relay) admit(p *pair) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.rules[All].with(r.rules[p.source])
+	if now.refuse || r.closed {
+		return false
+	}
+	p.silent = now.swallow
+	r.pairs[p] = true
+	return true
+}
+
+func (r *Relay) forget(p *pair) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pairs, p)
+	p.close()
+}
+
+// forward copies from one side to the other until the connection ends.
+func (r *Relay) forward(p *pair, from, to net.Conn, holds func(rule) bool) {
+	buffer := make([]byte, chunkBytes)
+	for {
+		n, err := from.Read(buffer)
+		now, silent, changed := r.state(p)
+		if now.delay > 0 {
+			time.Sleep(now.delay)
+		}
+		for holds(now) && !silent {
+			<-changed
+			now, silent, changed = r.state(p)
+		}
+		if silent {
+			_, _ = io.Copy(io.Discard, from) // The other side must not learn of an end.
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			_ = from.Close() // It may be closed already.
+			_ = to.Close()   // As above.
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,134 @@
+package relay_test
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/relay"
+)
+
+// quiet is how long a connection must pass nothing to count as silent, and
+// limit how long anything else may take.
+const (
+	quiet = 50 * time.Millisecond
+	limit = 10 * time.Second
+)
+
+// echoes starts an echo server and a relay to it.
+func echoes(c *qt.C) *relay.Relay {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = target.Close() })
+	go func() {
+		for {
+			conn, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	r := relay.New(listener, target.Addr().String())
+	c.Cleanup(r.Close)
+	return r
+}
+
+func connect(c *qt.C, r *relay.Relay) net.Conn {
+	conn, err := net.Dial("tcp", r.Address())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// answered sends a line and tells whether it comes back in time; the error is
+// that of a broken connection.
+func answered(conn net.Conn, within time.Duration) (bool, error) {
+	if _, err := io.WriteString(conn, "x\n"); err != nil {
+		return false, err
+	}
+	return comes(conn, within)
+}
+
+func comes(conn net.Conn, within time.Duration) (bool, error) {
+	_ = conn.SetReadDeadline(time.Now().Add(within))
+	_, err := bufio.NewReader(conn).ReadString('\n')
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return false, nil
+	}
+	return err == nil, err
+}
+
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(*relay.Relay)
+		// open and fresh say what becomes of a connection that is open at the
+		// fault, and of one made during it.
+		open, fresh string
+		// healed says whether the open one works after Heal.
+		healed bool
+	}{
+		{"none", func(*relay.Relay) {}, "works", "works", true},
+		{"cut", func(r *relay.Relay) { r.Cut(relay.All) }, "broken", "broken", false},
+		{"reset", func(r *relay.Relay) { r.Reset(relay.All) }, "broken", "works", false},
+		{"silence", func(r *relay.Relay) { r.Silence(relay.All) }, "silent", "works", false},
+		{"isolate", func(r *relay.Relay) { r.Isolate(relay.All) }, "silent", "silent", false},
+		{"hold in", func(r *relay.Relay) { r.Hold(relay.All, true, false) }, "silent", "silent", true},
+		{"hold out", func(r *relay.Relay) { r.Hold(relay.All, false, true) }, "silent", "silent", true},
+		{"of this source", func(r *relay.Relay) { r.Hold("127.0.0.1", true, true) }, "silent", "silent", true},
+		{"of another source", func(r *relay.Relay) { r.Hold("127.0.0.2", true, true) }, "works", "works", true},
+		{"delay", func(r *relay.Relay) { r.Delay(relay.All, 2*quiet) }, "silent", "silent", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			r := echoes(c)
+			open := connect(c, r)
+			ok, err := answered(open, limit)
+			c.Assert(err, qt.IsNil)
+			c.Assert(ok, qt.IsTrue)
+			test.fault(r)
+			c.Check(standing(open, test.open), qt.Equals, test.open)
+			c.Check(standing(connect(c, r), test.fresh), qt.Equals, test.fresh)
+			r.Heal(relay.All)
+			r.Heal("127.0.0.1")
+			if test.open == "silent" && test.healed {
+				ok, err = comes(open, limit)
+				c.Check(err, qt.IsNil)
+				c.Check(ok, qt.IsTrue)
+			}
+			c.Check(standing(connect(c, r), "works"), qt.Equals, "works")
+		})
+	}
+}
+
+// standing returns what becomes of a line on the connection. Only where silence
+// is wanted is a short time enough.
+func standing(conn net.Conn, want string) string {
+	within := limit
+	if want == "silent" {
+		within = quiet
+	}
+	ok, err := answered(conn, within)
+	switch {
+	case err != nil:
+		return "broken"
+	case ok:
+		return "works"
+	default:
+		return "silent"
+	}
+}
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"time"
 
@@ -61,7 +62,10 @@
 	Callers   string `json:"callers,omitempty"`
 	Readiness string `json:"readiness,omitempty"`
 	Control   string `json:"control,omitempty"`
-	Metrics   string `json:"metrics,omitempty"`
+	// Peers is where this daemon listens for others and connects from, when
+	// that is not Address: behind a relay or a translation of addresses.
+	Peers   string `json:"peers,omitempty"`
+	Metrics string `json:"metrics,omitempty"`
 }
 
 // SiteRetries bounds the further attempts of all routers together.
@@ -112,6 +116,23 @@
 // PeerAddress returns the address at which other daemons reach this one.
 func (s *Site) PeerAddress() string { return peerAddress(s.Address, s.PeerPorts[0]) }
 
+// PeerListener returns the address to listen at for other daemons.
+func (s *Site) PeerListener() string {
+	if s.Listen.Peers != "" {
+		return s.Listen.Peers
+	}
+	return s.PeerAddress()
+}
+
+// PeerSource returns the IP to connect to other daemons from; empty for any.
+func (s *Site) PeerSource() string {
+	if s.Listen.Peers == "" {
+		return ""
+	}
+	ip, _, _ := net.SplitHostPort(s.Listen.Peers) // Validate has checked it.
+	return ip
+}
+
 // SeedAddresses returns the peer addresses of the seeds.
 func (s *Site) SeedAddresses() []string {
 	var seeds []string
@@ -172,6 +193,9 @@
 	if len(s.PeerPorts) == 0 || s.PeerPorts[0] < 1 || s.PeerPorts[0] > maxPort {
 		list.Addf("peer_ports", "must begin with a port from 1 to %d", maxPort)
 	}
+	if _, err := netip.ParseAddrPort(s.Listen.Peers); err != nil && s.Listen.Peers != "" {
+		list.Addf("listen.peers", "%q is no \"IP:port\"", s.Listen.Peers)
+	}
 	for i, seed := range s.Seeds {
 		if _, err := netip.ParseAddrPort(seed); err != nil {
 			list.Addf(fmt.Sprintf("seeds[%d]", i), "%q is no \"IP:port\"", seed)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -80,7 +80,7 @@
 	d := &Daemon{
 		settings: s, adapter: adapter, log: l,
 		self:     &wire.Process{Host: s.PeerAddress(), Incarnation: peer.NewIncarnation(time.Now(), s.PeerAddress())},
-		registry: telemetry.NewRegistry(), dialer: peer.NewAddressDialer(nil),
+		registry: telemetry.NewRegistry(), dialer: peer.NewAddressDialer(nil, s.PeerSource()),
 	}
 	telemetry.ControlTraffic(d.registry, "site", d.dialer.Within())
 	if err := d.start(); err != nil {
@@ -104,7 +104,7 @@
 			voters, _ := d.control.voters()
 			return voters
 		})
-		listener, err := net.Listen("tcp", d.settings.PeerAddress())
+		listener, err := net.Listen("tcp", d.settings.PeerListener())
 		if err != nil {
 			return fmt.Errorf("listen for peers: %w", err)
 		}
--- /dev/null
+++ b/internal/soak/answer_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/platform/outside"
+)
+
+func TestAnswersAreChecked(t *testing.T) {
+	r := &sent{id: "r", kind: kinds[0]}
+	want := string(wantedAnswer(r))
+	tests := []struct {
+		name, id, stamp string
+		status          int
+		body            string
+		whole           bool
+		want            string
+	}{
+		{"whole", "r", "e", 200, want, true, ""},
+		{"broken off", "r", "e", 200, want[:50], false, ""},
+		{"cut short but ended as whole", "r", "e", 200, want[:50], true, "ORDER"},
+		{"an event is missing", "r", "e", 200, want[len(streamEvent("r", 1)):], true, "MIXED"},
+		{"bytes after the end", "r", "e", 200, want + "x", true, "MIXED"},
+		{"of another request", "other", "e", 200, want, true, "MIXED"},
+		{"without a stamp", "r", "", 200, want, true, "MIXED"},
+		{"refused", "r", "", 503, "", true, ""},
+		{"failed", "r", "e", 500, "", true, ""},
+		{"denied", "r", "", 404, "", true, "DENIED"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := &Site{journal: &journal{started: time.Now()}}
+			response := &http.Response{StatusCode: test.status, Header: http.Header{}}
+			outside.MarkAnswer(response.Header, test.id, test.stamp)
+			s.checkAnswer(r, response, []byte(test.body), test.whole)
+			qt.Check(t, promises(s), qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/endpoint.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oleanderramp/internal/relay"
+	"oleanderramp/platform/outside"
+)
+
+const (
+	// announcePeriod is the time between two announcements.
+	announcePeriod = 300 * time.Millisecond
+	// announceTimeout bounds one of them.
+	announceTimeout = time.Second
+	// plainWork is how long a plain answer takes, firstEvent how long a stream
+	// takes to begin, and eventPause the time between its events.
+	plainWork  = 5 * time.Millisecond
+	firstEvent = 20 * time.Millisecond
+	eventPause = 15 * time.Millisecond
+	// clockSkew is by how much the clocks of endpoints differ.
+	clockSkew = time.Second
+	// slots is how many requests an endpoint runs at once.
+	slots = 32
+	// leaveAfter is how long an endpoint serves after it was acknowledged that
+	// it leaves: the bound for routers to know, and a little more.
+	leaveAfter = leaveBound + time.Second
+)
+
+// Endpoint is a stand-in for an engine or a plain service, over all its starts
+// at one address.
+type Endpoint struct {
+	site   *Site
+	number int
+	// service is the one that it usually serves.
+	service string
+	// listen is where it listens, relay what it announces.
+	listen  string
+	relay   *relay.Relay
+	started atomic.Int64
+	// failing is the share of the answers that go wrong, in percent.
+	failing atomic.Int32
+	// busy is held by the fault that ends the endpoint.
+	busy sync.Mutex
+
+	mu  sync.Mutex
+	now *run
+}
+
+// run is one start of an endpoint.
+type run struct {
+	id, service string
+	born        time.Time
+	// sequence numbers the announcements.
+	sequence uint64
+	leaving  atomic.Bool
+	// acknowledged is when it was first acknowledged that it leaves, in
+	// nanoseconds since the start of the soak.
+	acknowledged atomic.Int64
+	server       *http.Server
+	stop         context.CancelFunc
+	done         sync.WaitGroup
+}
+
+// otherService returns the service that an endpoint's address may be given to.
+func otherService(service string) string {
+	if service == engineService {
+		return plainService
+	}
+	return engineService
+}
+
+// start begins a new start for a service, with another id than before. The
+// clocks of endpoints differ.
+func (e *Endpoint) start(service string) error {
+	listener, err := net.Listen("tcp", e.listen)
+	if err != nil {
+		return fmt.Errorf("endpoint %d: %w", e.number, err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	born := time.Now().Add(time.Duration(e.number%3) * clockSkew)
+	r := &run{id: fmt.Sprintf("e%d-%d", e.number, e.started.Add(1)), service: service, born: born, stop: cancel}
+	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { e.serve(r, w, request) })}
+	e.mu.Lock()
+	e.now = r
+	e.mu.Unlock()
+	r.done.Go(func() { _ = r.server.Serve(listener) }) // It ends with the server.
+	r.done.Go(func() { e.announce(ctx, r) })
+	return nil
+}
+
+// crash ends the present start without a word.
+func (e *Endpoint) crash() {
+	e.mu.Lock()
+	r := e.now
+	e.now = nil
+	e.mu.Unlock()
+	if r == nil {
+		return
+	}
+	r.stop()
+	_ = r.server.Close() // What it serves breaks.
+	r.done.Wait()
+}
+
+// leave says that the endpoint leaves, and ends it a while after that was
+// acknowledged.
+func (e *Endpoint) leave(ctx context.Context) {
+	e.mu.Lock()
+	r := e.now
+	e.mu.Unlock()
+	if r == nil {
+		return
+	}
+	r.leaving.Store(true)
+	for r.acknowledged.Load() == 0 && sleep(ctx, announcePeriod) {
+	}
+	sleep(ctx, leaveAfter)
+	e.crash()
+}
+
+// announce tells the control hosts of this start, by turns.
+func (e *Endpoint) announce(ctx context.Context, r *run) {
+	for turn := e.number; ; turn++ {
+		leaving := r.leaving.Load()
+		r.sequence++
+		body := outside.Announcement(r.service, e.relay.Address(), e.site.zone(e.number), slots, leaving, r.sequence, r.born)
+		address := e.site.controlAddress(turn % len(e.site.controls))
+		status, _, err := send(ctx, address, http.MethodPost, outside.AnnouncePath(r.id), body, announceTimeout)
+		if err == nil && status == http.StatusOK && leaving {
+			r.acknowledged.CompareAndSwap(0, int64(time.Since(e.site.journal.started)))
+		}
+		if !sleep(ctx, announcePeriod) {
+			return
+		}
+	}
+}
+
+// sleep waits; false when the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// serve runs one call.
+func (e *Endpoint) serve(r *run, w http.ResponseWriter, request *http.Request) {
+	call := outside.ReadCall(request.Header)
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	w.Header().Set("X-Endpoint", r.id)
+	outside.MarkAnswer(w.Header(), call.ID, r.id)
+	if call.Expected != r.id {
+		outside.MarkNotRun(w.Header())
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if call.Left <= 0 {
+		outside.MarkNotRun(w.Header())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	e.site.ledger.ran(call.ID, execution{
+		endpoint: r.id, service: r.service, account: call.Account, key: call.Key, path: request.URL.Path, body: string(body),
+		at: time.Since(e.site.journal.started), left: time.Duration(r.acknowledged.Load()),
+	})
+	failing := rand.Int32N(100) < e.failing.Load()
+	if r.service == engineService {
+		answerStream(w, request, call, failing)
+		return
+	}
+	sleep(request.Context(), plainWork)
+	if failing {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(plainAnswer(call.ID)) // The router may be gone.
+}
+
+// answerStream answers with a stream of events, and breaks off midway if it
+// fails.
+func answerStream(w http.ResponseWriter, request *http.Request, call outside.Call, failing bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	pause := firstEvent
+	for event := call.Last + 1; event <= streamEvents; event++ {
+		if !sleep(request.Context(), pause) {
+			return
+		}
+		pause = eventPause
+		if failing && event > streamEvents/2 {
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write(streamEvent(call.ID, event)); err != nil {
+			return
+		}
+		_ = control.Flush() // As above.
+	}
+}
+
+// streamEvents is how many events a stream has.
+const streamEvents = 12
+
+// plainAnswer returns the only right answer to a plain request.
+func plainAnswer(id string) []byte { return bytes.Repeat([]byte("answer to "+id+"\n"), 40) }
+
+// streamEvent returns the only right event of that number.
+func streamEvent(id string, event int) []byte {
+	return fmt.Appendf(nil, "id: %d\ndata: %s %d\n\n", event, id, event)
+}
--- /dev/null
+++ b/internal/soak/findings.go
@@ -0,0 +1,47 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Finding is a broken promise, or a step that could not be made.
+type Finding struct {
+	// At is the time since the start of the run.
+	At time.Duration
+	// Promise is the one that was broken.
+	Promise string
+	Detail  string
+}
+
+func (f Finding) String() string {
+	return fmt.Sprintf("%7.3fs %s: %s", f.At.Seconds(), f.Promise, f.Detail)
+}
+
+// maxFindings bounds what is kept.
+const maxFindings = 50
+
+// journal collects findings and the faults of a run. It is safe for concurrent
+// use.
+type journal struct {
+	started time.Time
+
+	mu       sync.Mutex
+	findings []Finding
+	faults   []string
+}
+
+func (j *journal) find(promise, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.findings) < maxFindings {
+		j.findings = append(j.findings, Finding{At: time.Since(j.started), Promise: promise, Detail: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (j *journal) fault(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.faults = append(j.faults, fmt.Sprintf("%7.3fs %s", time.Since(j.started).Seconds(), fmt.Sprintf(format, args...)))
+}
--- /dev/null
+++ b/internal/soak/operator.go
@@ -0,0 +1,231 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"oleanderramp/platform/outside"
+)
+
+const (
+	// orderPause is the time between two orders of an operator, at the most.
+	orderPause = 800 * time.Millisecond
+	// orderTimeout bounds one try of an order, readTimeout one read.
+	orderTimeout = 5 * time.Second
+	readTimeout  = 2 * time.Second
+	// probePause is the time between two probes of a router.
+	probePause = 150 * time.Millisecond
+	// invalidShare is the share of orders that are invalid, in percent.
+	invalidShare = 10
+)
+
+// accounts are the client accounts of the site.
+var accounts = []string{"large", "small", "tiny"}
+
+// keyOf returns the key of an account.
+func keyOf(account string) string { return "key-of-" + account }
+
+// markStart begins the paths that only show which version is in force.
+const markStart = "/since-"
+
+// markPrefix is a public route that exists from the version on.
+func markPrefix(version int) string { return fmt.Sprintf("%s%d/", markStart, version) }
+
+// document returns the order of a version. Two operators send other content
+// under the same one.
+func document(version, operator int) []byte {
+	var routes []outside.Route
+	for _, k := range kinds {
+		routes = append(routes, outside.Route{
+			Prefix: k.prefix, Service: k.service, Kind: k.routeKind, Timeout: patience, Objective: time.Second,
+			Attempts: maxAttempts, Resumable: k.stream && !k.once,
+		})
+	}
+	for v := 1; v <= version; v++ {
+		routes = append(routes, outside.Route{
+			Prefix: markPrefix(v), Service: plainService, Kind: "safe", Timeout: patience + time.Duration(operator)*time.Millisecond,
+			Objective: time.Second, Attempts: 1, Public: true,
+		})
+	}
+	keys := make(map[string]string)
+	for _, account := range accounts {
+		keys[keyOf(account)] = account
+	}
+	return outside.Order(version, siteHost, routes, []string{engineService}, []string{plainService}, slots, keys)
+}
+
+// maxAttempts is how many endpoints one request may reach.
+const maxAttempts = 2
+
+// versions holds what operators know. It is safe for concurrent use.
+type versions struct {
+	mu sync.Mutex
+	// highest is the highest version that was sent, acknowledged the highest
+	// that was acknowledged.
+	highest, acknowledged int
+	// bodies holds all that was sent under a version, and read the one that
+	// was read back.
+	bodies map[int][][]byte
+	read   map[int][]byte
+}
+
+func newVersions() *versions {
+	return &versions{bodies: make(map[int][][]byte), read: make(map[int][]byte)}
+}
+
+// next returns the version of a new order, sometimes the last one again.
+func (v *versions) next(operator int, again bool) (int, []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !again || v.highest == 0 {
+		v.highest++
+	}
+	body := document(v.highest, operator)
+	v.bodies[v.highest] = append(v.bodies[v.highest], body)
+	return v.highest, body
+}
+
+func (v *versions) acknowledge(version int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.acknowledged = max(v.acknowledged, version)
+}
+
+func (v *versions) known() (acknowledged, highest int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.acknowledged, v.highest
+}
+
+// take returns the version of what was read back; false when it was never
+// sent, or something else was read before under the same version.
+func (v *versions) take(body []byte) (int, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for version, bodies := range v.bodies {
+		for _, other := range bodies {
+			if !bytes.Equal(body, other) {
+				continue
+			}
+			before, known := v.read[version]
+			v.read[version] = body
+			return version, !known || bytes.Equal(before, body)
+		}
+	}
+	return 0, false
+}
+
+// operate sends orders until the context ends.
+func (s *Site) operate(ctx context.Context, operator int, random *rand.Rand) {
+	for sleep(ctx, time.Duration(random.Int64N(int64(orderPause)))) {
+		if random.IntN(100) < invalidShare {
+			s.orderInvalid(ctx, random)
+			continue
+		}
+		version, body := s.versions.next(operator, random.IntN(4) == 0)
+		s.order(ctx, version, body, random)
+	}
+}
+
+// order sends an order to one control host after the other until one of them
+// acknowledges it.
+func (s *Site) order(ctx context.Context, version int, body []byte, random *rand.Rand) bool {
+	for ctx.Err() == nil {
+		status, answer, err := send(ctx, s.controlAddress(random.IntN(len(s.controls))), http.MethodPost, outside.ReplacePath, body, orderTimeout)
+		switch {
+		case err == nil && status == http.StatusOK:
+			s.versions.acknowledge(version)
+			return true
+		case err == nil && status < http.StatusInternalServerError:
+			s.journal.find("CONFIG", "valid order %d is refused: %d %s", version, status, answer)
+			return false
+		}
+		sleep(ctx, probePause)
+	}
+	return false
+}
+
+// orderInvalid sends an order that must not be taken.
+func (s *Site) orderInvalid(ctx context.Context, random *rand.Rand) {
+	_, highest := s.versions.known()
+	body := bytes.Replace(document(highest+1000, 0), []byte(`"service":"`+plainService), []byte(`"service":"nobody`), 1)
+	status, _, err := send(ctx, s.controlAddress(random.IntN(len(s.controls))), http.MethodPost, outside.ReplacePath, body, orderTimeout)
+	if err == nil && status < http.StatusMultipleChoices {
+		s.journal.find("CONFIG", "an invalid order is acknowledged")
+	}
+}
+
+// read reads the routing table at one control host after the other: it must
+// never be older than what was acknowledged before.
+func (s *Site) read(ctx context.Context, random *rand.Rand) {
+	for sleep(ctx, probePause) {
+		s.readOne(ctx, random.IntN(len(s.controls)))
+	}
+}
+
+// readOne reads the routing table, and returns its version; 0 for none.
+func (s *Site) readOne(ctx context.Context, control int) int {
+	acknowledged, _ := s.versions.known()
+	status, body, err := send(ctx, s.controlAddress(control), http.MethodGet, outside.ReadPath, nil, readTimeout)
+	if err != nil || status != http.StatusOK {
+		return 0
+	}
+	version, ok := s.versions.take(body)
+	switch {
+	case !ok:
+		s.journal.find("CONFIG", "%s reads what was not sent so, or two documents of one version: %.80s", s.controls[control].name(), body)
+	case version < acknowledged:
+		s.journal.find("CONFIG", "%s reads version %d after %d was acknowledged", s.controls[control].name(), version, acknowledged)
+	}
+	return version
+}
+
+// probe asks one router again and again which version it uses: within one of
+// its lifetimes it must not go back.
+func (s *Site) probe(ctx context.Context, router int) {
+	lifetime, seen := 0, 0
+	for sleep(ctx, probePause) {
+		before, serving := s.routers[router].state()
+		if before != lifetime {
+			lifetime, seen = before, 0
+		}
+		_, highest := s.versions.known()
+		if !serving || highest == 0 {
+			continue
+		}
+		if s.knows(ctx, router, highest) == knownVersion {
+			seen = highest
+		}
+		if seen > 0 && s.knows(ctx, router, seen) == unknownVersion {
+			if after, _ := s.routers[router].state(); after == lifetime {
+				s.journal.find("CONFIG", "%s went back behind version %d", s.routers[router].name(), seen)
+			}
+		}
+	}
+}
+
+// knowledge says whether a router uses a version or a later one.
+type knowledge int
+
+const (
+	noAnswer knowledge = iota
+	unknownVersion
+	knownVersion
+)
+
+func (s *Site) knows(ctx context.Context, router, version int) knowledge {
+	status, _, err := sendTo(ctx, s.routerAddress(router), siteHost, http.MethodGet, markPrefix(version)+"probe", nil, readTimeout)
+	switch {
+	case err != nil || status == http.StatusServiceUnavailable:
+		return noAnswer
+	case status == http.StatusNotFound:
+		return unknownVersion
+	default:
+		return knownVersion
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"oleanderramp/internal/settings"
+)
+
+// Process is one daemon of the site, over all its starts. Its methods are safe
+// for concurrent use.
+type Process struct {
+	program  string
+	settings *settings.Site
+	folder   string
+	// unexpected is told when the program ends without being told to.
+	unexpected func(string)
+	// busy is held by the fault that ends the process.
+	busy sync.Mutex
+
+	// mu guards what follows.
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+	// told says that this start was told to end.
+	told bool
+	// lifetime counts the starts.
+	lifetime int
+	// stopped is true from a signal to stop on, until the next start.
+	stopped bool
+	paused  bool
+}
+
+func (p *Process) name() string { return p.settings.Host }
+
+// start starts the program unless it runs.
+func (p *Process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	path := filepath.Join(p.folder, p.name()+".json")
+	if err := p.writeSettings(path); err != nil {
+		return err
+	}
+	output, err := os.OpenFile(filepath.Join(p.folder, p.name()+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("log of %s: %w", p.name(), err)
+	}
+	defer output.Close() // The program has its own descriptor.
+	cmd := exec.Command(p.program, "site", "--settings", path)
+	cmd.Stdout, cmd.Stderr = output, output
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name(), err)
+	}
+	exited := make(chan struct{})
+	p.cmd, p.exited, p.told, p.stopped, p.paused = cmd, exited, false, false, false
+	p.lifetime++
+	go p.wait(cmd, exited)
+	return nil
+}
+
+// wait waits for the end of one start.
+func (p *Process) wait(cmd *exec.Cmd, exited chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	told := p.told
+	p.cmd = nil
+	p.mu.Unlock()
+	close(exited)
+	if !told {
+		p.unexpected(fmt.Sprintf("ended by itself: %v", err))
+	}
+}
+
+// writeSettings writes the settings. p.mu is held, or nothing runs yet.
+func (p *Process) writeSettings(path string) error {
+	data, err := json.Marshal(p.settings)
+	if err != nil {
+		return fmt.Errorf("settings of %s: %w", p.name(), err)
+	}
+	if p.settings.DataFolder != "" {
+		if err := os.MkdirAll(p.settings.DataFolder, 0o700); err != nil {
+			return fmt.Errorf("data folder of %s: %w", p.name(), err)
+		}
+	}
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return fmt.Errorf("settings of %s: %w", p.name(), err)
+	}
+	return nil
+}
+
+// changeSettings writes other settings for the running program.
+func (p *Process) changeSettings(change func(*settings.Site)) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p.settings)
+	return p.writeSettings(filepath.Join(p.folder, p.name()+".json"))
+}
+
+// signal sends a signal to the program if it runs.
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		p.told, p.stopped = true, true
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
+	_ = p.cmd.Process.Signal(s) // It may have just ended.
+}
+
+// kill ends the program at once and waits for its end.
+func (p *Process) kill() {
+	p.signal(syscall.SIGKILL)
+	p.awaitEnd(time.Minute)
+}
+
+// awaitEnd waits for the end of the program; false when it goes on.
+func (p *Process) awaitEnd(limit time.Duration) bool {
+	p.mu.Lock()
+	running, exited := p.cmd != nil, p.exited
+	p.mu.Unlock()
+	if !running {
+		return true
+	}
+	select {
+	case <-exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// state returns the number of the present start, and whether the program runs
+// without having been told to stop.
+func (p *Process) state() (lifetime int, serving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lifetime, p.cmd != nil && !p.stopped && !p.paused
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,370 @@
+// Package soak runs the programs of a site as separate processes, spoils what
+// they depend on as a seed says, and checks the promises that callers,
+// endpoints and operators were given, from what those see.
+//
+// Faults come from outside: relays on loopback between the processes, signals,
+// lost disks and torn writes, endpoints that fail. A seed fixes which faults
+// are made; their times are those of the machine.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"oleanderramp/internal/relay"
+	"oleanderramp/internal/settings"
+)
+
+// Config says what a run is like.
+type Config struct {
+	// Program is the path of the program, Folder where settings, data and logs
+	// go.
+	Program string
+	Folder  string
+	Seed    uint64
+	// Network is the second and third byte of the addresses in 127.0.0.0/8, of
+	// which the run uses four networks from there on.
+	Network [2]byte
+	// Controls, Routers, Endpoints and Callers are how many there are. Of the
+	// endpoints half are engines.
+	Controls, Routers, Endpoints, Callers int
+	// Faults is how long faults are made.
+	Faults time.Duration
+}
+
+// Defaults fills the fields that are unset.
+func (c *Config) Defaults() {
+	setDefault(&c.Controls, 5)
+	setDefault(&c.Routers, 3)
+	setDefault(&c.Endpoints, 6)
+	setDefault(&c.Callers, 12)
+	setDefault(&c.Faults, 12*time.Second)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Report is what a run came to.
+type Report struct {
+	Findings []Finding
+	// Faults lists what was done, with the time.
+	Faults []string
+	// Requests and Served count the requests of callers, Versions the routing
+	// tables that were sent.
+	Requests, Served, Versions int
+}
+
+// The ports, the same on all addresses.
+const (
+	callersPort   = 18701
+	readinessPort = 18702
+	controlPort   = 18703
+	peersPort     = 18710
+	endpointPort  = 18801
+)
+
+const (
+	// seedCount is how many control hosts a process is told of.
+	seedCount = 3
+	// shutdown is how long a process may take to stop.
+	shutdown = 8 * time.Second
+	// applyBound is how long after its acknowledgement a version may be unknown
+	// to a router, and recoverBound how long after the last fault a site may
+	// not serve.
+	applyBound   = 2500 * time.Millisecond
+	recoverBound = 15 * time.Second
+)
+
+// Site is a site under test.
+type Site struct {
+	config    Config
+	journal   *journal
+	ledger    *ledger
+	versions  *versions
+	controls  []*Process
+	routers   []*Process
+	endpoints []*Endpoint
+	// relays stand before the control hosts, in their order.
+	relays []*relay.Relay
+	// work holds all that runs beside, and troubles the faults.
+	work, troubles sync.WaitGroup
+	// calmFrom and calmTo bound the time without faults, since the start; 0
+	// for not ended.
+	calmFrom, calmTo time.Duration
+	// callerCount numbers the callers.
+	callerCount int
+
+	// mu guards what follows.
+	mu       sync.Mutex
+	diskLost time.Time
+}
+
+// Run makes one run. The error says that it could not be made.
+func Run(config Config) (Report, error) {
+	config.Defaults()
+	s := &Site{config: config, journal: &journal{started: time.Now()}, ledger: newLedger(), versions: newVersions()}
+	defer s.close()
+	if err := s.build(); err != nil {
+		return Report{}, err
+	}
+	random := rand.New(rand.NewPCG(config.Seed, 0))
+	s.run(random)
+	s.checkLedger()
+	return s.report(), nil
+}
+
+// address returns an address of the run: of a control host or router to the
+// others (net 0) and its own (net 1), of an endpoint to the others (net 2) and
+// its own (net 3).
+func (s *Site) address(network, number, port int) string {
+	n := s.config.Network
+	return fmt.Sprintf("127.%d.%d.%d:%d", n[0], int(n[1])+network, number+1, port)
+}
+
+const routersFrom = 100
+
+func (s *Site) controlAddress(i int) string { return s.address(0, i, controlPort) }
+
+func (s *Site) routerAddress(i int) string { return s.address(0, routersFrom+i, callersPort) }
+
+func (s *Site) zone(number int) string { return fmt.Sprintf("zone-%d", number%zoneCount) }
+
+// zoneCount is how many regions there are, with a zone each.
+const zoneCount = 3
+
+// since returns the time since the start.
+func (s *Site) since() time.Duration { return time.Since(s.journal.started) }
+
+// build starts relays, processes and endpoints.
+func (s *Site) build() error {
+	for i := range s.config.Controls {
+		listener, err := net.Listen("tcp", s.address(0, i, peersPort))
+		if err != nil {
+			return fmt.Errorf("relay of control host %d: %w", i, err)
+		}
+		s.relays = append(s.relays, relay.New(listener, s.address(1, i, peersPort)))
+		s.controls = append(s.controls, s.process(fmt.Sprintf("control-%d", i), i, settings.RoleReplica, settings.SiteListen{Control: s.controlAddress(i)}))
+	}
+	for i := range s.config.Routers {
+		listen := settings.SiteListen{Callers: s.routerAddress(i), Readiness: s.address(0, routersFrom+i, readinessPort)}
+		s.routers = append(s.routers, s.process(fmt.Sprintf("router-%d", i), routersFrom+i, settings.RoleRouter, listen))
+	}
+	for _, p := range slices.Concat(s.controls, s.routers) {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for i := range s.config.Endpoints {
+		listener, err := net.Listen("tcp", s.address(2, i, endpointPort))
+		if err != nil {
+			return fmt.Errorf("relay of endpoint %d: %w", i, err)
+		}
+		e := &Endpoint{
+			site: s, number: i, service: []string{engineService, plainService}[i%2], listen: s.address(3, i, endpointPort),
+			relay: relay.New(listener, s.address(3, i, endpointPort)),
+		}
+		s.endpoints = append(s.endpoints, e)
+		if err := e.start(e.service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// process describes a daemon. At the first start all know the same seeds.
+func (s *Site) process(name string, number int, role settings.Role, listen settings.SiteListen) *Process {
+	listen.Peers = s.address(1, number, peersPort)
+	host, _, _ := net.SplitHostPort(s.address(0, number, peersPort)) // It is one.
+	described := &settings.Site{
+		Host: name, Region: s.zone(number), Zone: s.zone(number), Roles: []settings.Role{role}, Address: host, PeerPorts: []int{peersPort},
+		Listen: listen, FirstStart: true, ToleratedHosts: (s.config.Controls - 1) / 2, ShutdownS: shutdown.Seconds(),
+	}
+	for i := range zoneCount {
+		described.Zones = append(described.Zones, settings.Zone{Zone: s.zone(i), Region: s.zone(i)})
+	}
+	for i := range min(seedCount, s.config.Controls) {
+		described.Seeds = append(described.Seeds, s.controlAddress(i))
+	}
+	if role == settings.RoleReplica {
+		described.DataFolder = filepath.Join(s.config.Folder, name)
+	}
+	described.Defaults()
+	return &Process{
+		program: s.config.Program, settings: described, folder: s.config.Folder,
+		unexpected: func(what string) { s.journal.find("ENDED", "%s %s", name, what) },
+	}
+}
+
+// run makes the parts of a run one after the other: a first order, faults, a
+// calm time with planned work, and the last checks.
+func (s *Site) run(random *rand.Rand) {
+	all, stopAll := context.WithCancel(context.Background())
+	defer stopAll()
+	version, body := s.versions.next(0, false)
+	first, stopFirst := context.WithTimeout(all, recoverBound)
+	defer stopFirst()
+	if !s.order(first, version, body, random) {
+		s.journal.find("RECOVER", "the first order is not acknowledged within %v", recoverBound)
+		return
+	}
+	for _, p := range slices.Concat(s.controls, s.routers) {
+		if err := p.changeSettings(func(changed *settings.Site) { changed.FirstStart = false }); err != nil {
+			s.journal.find("SOAK", "%v", err)
+		}
+	}
+	s.callers(all, s.config.Callers)
+	s.beside(random, func(random *rand.Rand) { s.read(all, random) })
+	for i := range s.routers {
+		s.work.Go(func() { s.probe(all, i) })
+	}
+	trouble, stopTrouble := context.WithTimeout(all, s.config.Faults)
+	defer stopTrouble()
+	var operators sync.WaitGroup
+	for operator := range 2 {
+		r := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+		operators.Go(func() { s.operate(trouble, operator, r) })
+	}
+	s.inject(trouble, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())))
+	operators.Wait()
+	s.troubles.Wait()
+	s.recover(all, random)
+	s.planned(all, random)
+	s.settled(all)
+	stopAll()
+	s.work.Wait()
+}
+
+// beside runs work with a source of its own.
+func (s *Site) beside(random *rand.Rand, work func(*rand.Rand)) {
+	r := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+	s.work.Go(func() { work(r) })
+}
+
+// callers starts more callers.
+func (s *Site) callers(ctx context.Context, count int) {
+	for range count {
+		s.mu.Lock()
+		number := s.callerCount
+		s.callerCount++
+		s.mu.Unlock()
+		s.work.Go(func() { s.call(ctx, number, rand.New(rand.NewPCG(s.config.Seed, uint64(number)+1))) })
+	}
+}
+
+// stop stops a process in good order. It returns false when the process, which
+// may be paused, had to be killed.
+func (s *Site) stop(p *Process) bool {
+	p.signal(syscall.SIGTERM)
+	ended := p.awaitEnd(shutdown)
+	if !ended {
+		p.kill()
+	}
+	return ended
+}
+
+// relayOf returns the relay before a control host.
+func (s *Site) relayOf(p *Process) *relay.Relay { return s.relays[slices.Index(s.controls, p)] }
+
+// recover waits until the site serves again after the last fault.
+func (s *Site) recover(ctx context.Context, random *rand.Rand) {
+	bounded, cancel := context.WithTimeout(ctx, recoverBound)
+	defer cancel()
+	version, body := s.versions.next(0, false)
+	if !s.order(bounded, version, body, random) {
+		s.journal.find("RECOVER", "no order is acknowledged within %v after the last fault", recoverBound)
+		return
+	}
+	for i := range s.routers {
+		for served := 0; served < len(kinds); {
+			r := s.newRequest(fmt.Sprintf("r%d-%d-%d", i, served, s.since()), kinds[served], i, i)
+			s.exchange(newClient(), r, 0)
+			if r.whole && r.status == 200 {
+				served++
+			} else if !sleep(bounded, probePause) {
+				s.journal.find("RECOVER", "%s does not serve a %s within %v after the last fault: %d %v", s.routers[i].name(), r.kind.name, recoverBound, r.status, r.failure)
+				return
+			}
+		}
+	}
+	sleep(ctx, stableFor)
+	s.calmFrom = s.since() - stableFor
+}
+
+// planned does what operators do on a calm day. Nothing may be lost by it.
+func (s *Site) planned(ctx context.Context, random *rand.Rand) {
+	var work sync.WaitGroup
+	work.Go(func() {
+		p := s.routers[0]
+		if !s.stop(p) {
+			s.journal.find("ENDED", "%s does not end within %v of SIGTERM", p.name(), shutdown)
+		}
+		if err := p.start(); err != nil {
+			s.journal.find("SOAK", "%v", err)
+		}
+	})
+	work.Go(func() { s.endpoints[0].leave(ctx) })
+	version, body := s.versions.next(0, false)
+	if !s.order(ctx, version, body, random) {
+		return
+	}
+	sleep(ctx, applyBound)
+	for i, p := range s.routers {
+		if _, serving := p.state(); serving && s.knows(ctx, i, version) == unknownVersion {
+			s.journal.find("CONFIG", "%s does not know version %d %v after its acknowledgement", p.name(), version, applyBound)
+		}
+	}
+	work.Wait()
+}
+
+// settled checks that all control hosts give the same, newest table.
+func (s *Site) settled(ctx context.Context) {
+	acknowledged, _ := s.versions.known()
+	for i, p := range s.controls {
+		end := time.Now().Add(recoverBound)
+		for s.readOne(ctx, i) < acknowledged {
+			if time.Now().After(end) {
+				s.journal.find("LOST", "%s does not read version %d within %v", p.name(), acknowledged, recoverBound)
+				break
+			}
+			sleep(ctx, probePause)
+		}
+	}
+	s.calmTo = s.since()
+}
+
+func (s *Site) report() Report {
+	r := Report{Findings: s.journal.findings, Faults: s.journal.faults, Requests: len(s.ledger.requests)}
+	_, r.Versions = s.versions.known()
+	for _, request := range s.ledger.requests {
+		if request.whole && request.status < 300 {
+			r.Served++
+		}
+	}
+	return r
+}
+
+// close ends all that was started.
+func (s *Site) close() {
+	for _, e := range s.endpoints {
+		e.crash()
+		e.relay.Close()
+	}
+	for _, p := range slices.Concat(s.controls, s.routers) {
+		p.signal(syscall.SIGCONT)
+		p.kill()
+	}
+	for _, r := range s.relays {
+		r.Close()
+	}
+}
