--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -74,7 +74,7 @@
 
 // attempt sends the request to the endpoint and passes the answer on.
 func (f *Forwarder) attempt(caller context.Context, t *task, p placement) *endpoint.CallError {
-	ctx, cancel := t.withDeadline(caller)
+	ctx, cancel := context.WithDeadline(caller, t.deadline)
 	defer cancel()
 	t.answer.begin(p.ticket)
 	_, err := f.cfg.Endpoints.Do(ctx, f.call(time.Now(), t, p), t.answer)
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
@@ -283,8 +282,3 @@
 	}
 	return min(left, silentPauses*t.route.MaxPause)
 }
-
-// withDeadline returns a context that ends with the caller's time.
-func (t *task) withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
-	return context.WithDeadline(ctx, t.deadline)
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -146,18 +146,31 @@
 // Parse decodes and checks the JSON form of the settings and fills in the
 // defaults. The error is a *finding.Error with all problems found.
 func Parse(data []byte) (*Settings, error) {
-	var settings Settings
+	settings := &Settings{}
+	if err := parse(data, settings, func() bool { return settings.Host == "" && settings.Roles == nil }); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// document is the JSON form of settings.
+type document interface {
+	Defaults()
+	Validate(list *finding.List)
+}
+
+// parse decodes a document, fills in its defaults and checks it. What is wrong
+// with a document that could not be read at all is that alone; empty tells
+// then that nothing was read.
+func parse(data []byte, d document, empty func() bool) error {
 	var list finding.List
-	strictjson.Decode(data, &settings, maxSettingsBytes, &list)
-	if list.Len() > 0 && settings.Host == "" && settings.Roles == nil {
-		return nil, list.Err()
+	strictjson.Decode(data, d, maxSettingsBytes, &list)
+	if list.Len() > 0 && empty() {
+		return list.Err()
 	}
-	settings.Defaults()
+	d.Defaults()
 	var invalid finding.List
-	settings.Validate(&invalid)
+	d.Validate(&invalid)
 	list.AppendNew(&invalid)
-	if err := list.Err(); err != nil {
-		return nil, err
-	}
-	return &settings, nil
+	return list.Err()
 }
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"time"
 
-	"oleanderramp/internal/strictjson"
 	"oleanderramp/pkg/finding"
 )
 
@@ -236,18 +235,9 @@
 // fills in the defaults. The error is a *finding.Error with all problems
 // found.
 func ParseSite(data []byte) (*Site, error) {
-	var site Site
-	var list finding.List
-	strictjson.Decode(data, &site, maxSettingsBytes, &list)
-	if list.Len() > 0 && site.Host == "" && site.Roles == nil {
-		return nil, list.Err()
-	}
-	site.Defaults()
-	var invalid finding.List
-	site.Validate(&invalid)
-	list.AppendNew(&invalid)
-	if err := list.Err(); err != nil {
+	site := &Site{}
+	if err := parse(data, site, func() bool { return site.Host == "" && site.Roles == nil }); err != nil {
 		return nil, err
 	}
-	return &site, nil
+	return site, nil
 }
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -96,25 +96,12 @@
 	c.host = &quorumHost{statehost.New(c.replica, c.store)}
 	c.quorum = peer.NewFoundQuorum(d.dialer, d.settings.PeerAddress(), c.others, c.host)
 	c.done.Go(func() { c.watchReplica() })
-	c.done.Go(func() { c.every(ctx, siblingPeriod, c.callSiblings) })
-	c.done.Go(func() { c.every(ctx, repairPeriod, c.repair) })
-	c.done.Go(func() { c.every(ctx, savePeriod, c.saver()) })
+	c.done.Go(func() { every(ctx, siblingPeriod, c.callSiblings) })
+	c.done.Go(func() { every(ctx, repairPeriod, c.repair) })
+	c.done.Go(func() { every(ctx, savePeriod, c.saver()) })
 	return c, nil
 }
 
-func (c *control) every(ctx context.Context, period time.Duration, work func(context.Context)) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			work(ctx)
-		}
-	}
-}
-
 // others returns the addresses of the other control hosts.
 func (c *control) others() []string {
 	c.mu.Lock()
--- a/internal/site/exchange.go
+++ b/internal/site/exchange.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"oleanderramp/internal/directory"
+	"oleanderramp/internal/discovery"
 	"oleanderramp/internal/edge"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/peer"
@@ -41,7 +44,7 @@
 	defer c.mu.Unlock()
 	sender := request.GetSender().GetHost()
 	if request.GetControl() != nil {
-		c.heard(now, request.GetControl(), request.GetHosts())
+		heard(c.log, c.hosts, now, request.GetControl(), request.GetHosts())
 		c.siblings[sender] = report{load: request.GetLoad(), at: now}
 	} else if request.GetLoad() != nil {
 		c.reports[sender] = report{load: request.GetLoad(), at: now}
@@ -141,13 +144,13 @@
 	return sumReports(list)
 }
 
-// heard takes a sign of life of another control host. c.mu is held.
-func (c *control) heard(now time.Time, host *wire.ControlHost, hosts []*wire.ControlHost) {
-	if c.hosts.Heard(now, hostFromWire(host)) {
-		event.PeerUp.Log(c.log, event.Fields{"peer": host.GetAddress(), "incarnation": host.GetIncarnation()})
+// heard takes a sign of life of a control host, and what hosts it knows.
+func heard(l log.Interface, table *discovery.Table, now time.Time, host *wire.ControlHost, hosts []*wire.ControlHost) {
+	if table.Heard(now, hostFromWire(host)) {
+		event.PeerUp.Log(l, event.Fields{"peer": host.GetAddress(), "incarnation": host.GetIncarnation()})
 	}
 	for _, h := range hosts {
-		c.hosts.Mentioned(now, hostFromWire(h))
+		table.Mentioned(now, hostFromWire(h))
 	}
 }
 
@@ -179,7 +182,7 @@
 	if err != nil {
 		return
 	}
-	c.heard(now, response.GetResponder(), response.GetHosts())
+	heard(c.log, c.hosts, now, response.GetResponder(), response.GetHosts())
 	for _, e := range response.GetEndpoints() {
 		entry := entryFromWire(now, e)
 		logChange(c.log, c.directory.Merge(entry), entry, address)
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -132,26 +132,12 @@
 	r.done.Go(func() { r.lag.run(ctx) })
 	r.done.Go(func() {
 		r.findTable(ctx)
-		r.every(ctx, primaryPeriod, r.syncPrimary)
+		every(ctx, primaryPeriod, r.syncPrimary)
 	})
-	r.done.Go(func() { r.every(ctx, othersPeriod, r.syncNext()) })
+	r.done.Go(func() { every(ctx, othersPeriod, r.syncNext()) })
 	return r
 }
 
-// every calls work in a fixed period until the context ends.
-func (r *router) every(ctx context.Context, period time.Duration, work func(context.Context)) {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		work(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 // Table returns the routing table in force, or nil.
 func (r *router) Table() *routing.Table { return r.table.Load() }
 
--- a/internal/site/routersync.go
+++ b/internal/site/routersync.go
@@ -141,12 +141,7 @@
 func (r *router) take(now time.Time, host string, response *wire.SyncResponse, primary bool) {
 	newTable := r.adopt(response, host)
 	r.mu.Lock()
-	if r.hosts.Heard(now, hostFromWire(response.GetResponder())) {
-		event.PeerUp.Log(r.log, event.Fields{"peer": host, "incarnation": response.GetResponder().GetIncarnation()})
-	}
-	for _, h := range response.GetHosts() {
-		r.hosts.Mentioned(now, hostFromWire(h))
-	}
+	heard(r.log, r.hosts, now, response.GetResponder(), response.GetHosts())
 	changed := false
 	var renewed []directory.Entry
 	for _, e := range response.GetEndpoints() {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -144,6 +144,20 @@
 	return nil
 }
 
+// every calls work in a fixed period until the context ends.
+func every(ctx context.Context, period time.Duration, work func(context.Context)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		work(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Registry returns the metrics of the daemon.
 func (d *Daemon) Registry() *prometheus.Registry { return d.registry }
 
