Count cached parts by their age, shares without size, and bound the prompts ahead

Three changes of where and whether a request runs, each with a test that failed before: - An engine's unused prompt parts yield to what runs there, within seconds under load, but were taken to be there for 30 s: the expected tokens now fall with age, by the engine's load, and the source of a fetch is the likelier one. - Near an account's level the largest requests were refused most, since the level was compared after their tokens. - Small requests filled the queues up to where large ones no longer fit in time: all may wait for 0.45 of their time for prompts before them.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -33,6 +33,9 @@
 	// startWorkMS is the time of a plain service's answer before it was
 	// measured, in milliseconds.
 	startWorkMS = 20.0
+	// startStayMS is how long an engine runs a request before it was measured,
+	// in milliseconds.
+	startStayMS = 1500.0
 	// failurePenaltyMS weighs the share of failed answers, in milliseconds.
 	failurePenaltyMS = 2000.0
 	// failureSmoothing is the weight of a new outcome in the share of failed
@@ -48,6 +51,10 @@
 	// lateShare is the part of the objective that a prompt may wait which can't
 	// meet it anyway.
 	lateShare = 0.3
+	// queueShare is the part of the time for the first event for which a request
+	// may wait for the prompts before it. Without it small requests fill the
+	// engines up to where large ones no longer fit.
+	queueShare = 0.45
 	// spareShare is how much of an engine's slots may be in use where spare
 	// requests run.
 	spareShare = 0.5
@@ -133,6 +140,8 @@
 	// Load is what was known to be under way there.
 	Load   Load
 	Reason Reason
+	// chain is the prompt's.
+	chain []link
 }
 
 // Balancer holds what is known of the endpoints. It is not safe for concurrent
@@ -151,6 +160,8 @@
 	endpoints []*endpoint
 	// workMS is the moving average of a plain answer's time.
 	workMS float64
+	// stayMS is the moving average of the time that requests run at engines.
+	stayMS float64
 }
 
 // endpoint is what is known of one endpoint.
@@ -191,9 +202,9 @@
 		b.endpoints[entry.ID] = e
 		s, ok := b.services[entry.Service]
 		if !ok {
-			s = &service{workMS: startWorkMS}
+			s = &service{workMS: startWorkMS, stayMS: startStayMS}
 			if old, known := services[entry.Service]; known {
-				s.workMS = old.workMS
+				s.workMS, s.stayMS = old.workMS, old.stayMS
 			}
 			if described := table.Service(entry.Service); described != nil {
 				s.engine = described.Engine
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -9,6 +9,7 @@
 
 	"oleanderramp/internal/balance"
 	"oleanderramp/internal/directory"
+	"oleanderramp/internal/prefixes"
 	"oleanderramp/pkg/routing"
 )
 
@@ -97,6 +98,8 @@
 		{"larger than the memory but alone", balance.Load{}, balance.Demand{Service: "engines", Prompt: prompt(120_000, ""), Within: 10 * time.Second}, ""},
 		{"too long for the objective on an idle engine", balance.Load{}, ask(prompt(60_000, "")), ""},
 		{"the same behind others", balance.Load{Running: 1, Prefill: 20_000}, ask(prompt(60_000, "")), balance.Busy},
+		{"room for a large one", balance.Load{Running: 1, Prefill: 13_000}, ask(prompt(20_000, "")), ""},
+		{"and no more for a small one than for a large one", balance.Load{Running: 1, Prefill: 20_000}, ask(prompt(1000, "")), balance.Busy},
 		{"no spare slot", balance.Load{Running: 2}, balance.Demand{Service: "engines", Prompt: prompt(1000, ""), Within: objective, Spare: true}, balance.Busy},
 		{"unknown service", balance.Load{}, balance.Demand{Service: "none", Within: objective}, balance.NoEndpoint},
 		{"all excluded", balance.Load{}, balance.Demand{Service: "engines", Within: objective, Excluded: []string{"engines-0"}}, balance.NoEndpoint},
@@ -179,6 +182,27 @@
 	c.Check(other.Choose(at(30), d).Uncached, qt.Equals, 8000)
 }
 
+// TestPartsYieldToLoad checks that of two engines that have read a part the one
+// that used it last is taken to hold it, when both are busy.
+func TestPartsYieldToLoad(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 4)
+	d := ask(prompt(8000, "manual"))
+	read(b, d, "engines-1")
+	busy := map[string]balance.Load{"engines-1": {Running: 3, Memory: 60_000}, "engines-2": {Running: 4, Memory: 60_000}}
+	b.SetCached(at(1), []prefixes.Entry{{Key: b.TakeRead()[0].Key, Endpoint: "engines-2", Used: at(1)}})
+	b.SetOthers(at(1), busy)
+	choice := b.Choose(at(1), d)
+	c.Check(choice.Source.ID, qt.Equals, "engines-2")
+	c.Check(choice.Uncached, qt.Equals, 2000)
+	// Idle engines keep what they have read, busy ones lose it.
+	b.SetOthers(at(4), nil)
+	idle := b.Choose(at(4), d).Uncached
+	c.Check(idle < 3000, qt.IsTrue, qt.Commentf("%d", idle))
+	b.SetOthers(at(4), busy)
+	c.Check(b.Choose(at(4), d).Uncached, qt.Equals, 8000)
+}
+
 // TestRoutersMeet checks that routers of a region send requests with the same
 // shared parts to one endpoint before any of them knows of another.
 func TestRoutersMeet(t *testing.T) {
--- a/internal/balance/cache.go
+++ b/internal/balance/cache.go
@@ -11,8 +11,13 @@
 	// maxCachedParts bounds the prompt parts that are remembered for an
 	// endpoint.
 	maxCachedParts = 4096
-	// cachedFor is how long an unused part is taken to be there yet.
-	cachedFor = 30 * time.Second
+	// cachedFor is how long an unused part is taken to be there yet, at the
+	// most, and cachedLeast at the least.
+	cachedFor   = 30 * time.Second
+	cachedLeast = time.Second
+	// newPart is the part of a request's tokens that takes new memory: the rest
+	// is shared with others.
+	newPart = 0.6
 )
 
 // link is a part of a prompt together with all parts before it.
@@ -61,16 +66,32 @@
 	}
 }
 
-// held returns how many tokens of the prompt the endpoint need not read.
-func (c cache) held(now time.Time, chain []link) int {
-	tokens := 0
+// held returns how many tokens of the prompt the endpoint need not read, as far
+// as can be expected: an unused part is the less likely to be there the nearer
+// its age is to the lifetime of unused parts.
+func (c cache) held(now time.Time, chain []link, lifetime time.Duration) int {
+	tokens := 0.0
 	for _, l := range shared(chain) {
-		if used, ok := c[l.key]; !ok || now.Sub(used) >= cachedFor {
+		age := now.Sub(c[l.key]) // A part that was never read has the greatest age.
+		if age >= lifetime {
 			break
 		}
-		tokens += l.tokens
+		tokens += float64(l.tokens) * (1 - float64(max(age, 0))/float64(lifetime))
 	}
-	return tokens
+	return int(tokens)
+}
+
+// lifetime returns how long an unused part stays in an engine's memory. The
+// least recently used parts yield to what runs, so that is the time in which as
+// many new tokens come as there is memory beside the running requests.
+func (s *service) lifetime(load Load) time.Duration {
+	memory := float64(s.engine.MemoryTokens)
+	if memory == 0 || load.Memory == 0 {
+		return cachedFor
+	}
+	perMS := newPart * float64(load.Memory) / s.stayMS
+	free := max(memory-float64(load.Memory), 0)
+	return min(max(duration(free/perMS), cachedLeast), cachedFor)
 }
 
 // shared returns the links without the last one, which is the request's own.
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -31,7 +31,7 @@
 		if e.entry.Region != b.region {
 			predicted += farMS
 		}
-		if !s.fits(e, load, d) || !s.inTime(e, d, predicted, alone) {
+		if !s.fits(e, load, d) || !s.inTime(e, load, d, predicted, alone) {
 			if best.Reason == NoEndpoint {
 				best.Reason = Busy
 			}
@@ -49,7 +49,7 @@
 		}
 		if cost < bestCost {
 			bestCost = cost
-			best = Choice{Endpoint: e.entry, Predicted: duration(predicted), Uncached: uncached, Load: load}
+			best = Choice{Endpoint: e.entry, Predicted: duration(predicted), Uncached: uncached, Load: load, chain: chain}
 			if source != nil {
 				best.Source = source.entry
 			}
@@ -116,9 +116,12 @@
 // inTime tells whether the first event and the whole answer come in time. A
 // prompt that takes too long on an idle engine already may wait for a part of
 // the time besides.
-func (s *service) inTime(e *endpoint, d Demand, predicted, alone float64) bool {
+func (s *service) inTime(e *endpoint, load Load, d Demand, predicted, alone float64) bool {
 	within := milliseconds(d.Within)
 	if s.engine != nil {
+		if float64(load.Prefill)/e.rate > queueShare*within {
+			return false
+		}
 		within = max(within, alone+lateShare*within)
 	}
 	if predicted > within {
@@ -149,7 +152,7 @@
 		return h
 	}
 	for i, e := range s.endpoints {
-		h.held[i] = e.cache.held(now, chain)
+		h.held[i] = e.cache.held(now, chain, s.lifetime(e.load(now)))
 		if h.held[i] == 0 || s.engine.FetchRate == 0 || e.down(now) {
 			continue
 		}
--- a/internal/balance/ticket.go
+++ b/internal/balance/ticket.go
@@ -28,7 +28,7 @@
 // Begin takes the place at the endpoint that Choose returned just before.
 func (b *Balancer) Begin(now time.Time, d Demand, c Choice) *Ticket {
 	t := &Ticket{
-		balancer: b, endpoint: b.endpoints[c.Endpoint.ID], service: b.services[d.Service], chain: chainOf(d.Prompt.Parts), sent: now,
+		balancer: b, endpoint: b.endpoints[c.Endpoint.ID], service: b.services[d.Service], chain: c.chain, sent: now,
 		load:  Load{Running: 1, Prefill: max(c.Uncached, 0), Memory: d.Prompt.Tokens + d.Prompt.Output},
 		ahead: c.Load.Prefill + max(c.Uncached, 0),
 	}
@@ -108,8 +108,11 @@
 	switch outcome {
 	case Answered:
 		e.failures -= failureSmoothing * e.failures
+		took := milliseconds(now.Sub(t.sent))
 		if t.service.engine == nil {
-			t.service.workMS += smoothing * (milliseconds(now.Sub(t.sent)) - t.service.workMS)
+			t.service.workMS += smoothing * (took - t.service.workMS)
+		} else {
+			t.service.stayMS += paceSmoothing * (took - t.service.stayMS)
 		}
 	case Failed:
 		e.failures += failureSmoothing * (1 - e.failures)
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -141,7 +141,7 @@
 	g.mu.Lock()
 	within, s := g.claim(now, w)
 	p, ok := placement{choice: balance.Choice{Reason: balance.Busy}}, false
-	if within || s.Spare(w.tokens) {
+	if within || s.Spare() {
 		p, ok = g.try(now, w, within)
 	}
 	if ok || !within || p.choice.Reason == balance.NoEndpoint {
@@ -180,7 +180,7 @@
 	if g.short(w.tokens) {
 		s.Level, s.SpareLevel = s.Level*shortBonus, s.SpareLevel*shortBonus
 	}
-	return w.again || s.Within(w.tokens), s
+	return w.again || s.Within(), s
 }
 
 // short tells whether a request costs little against the usual one, and counts
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -142,16 +142,12 @@
 	Use
 }
 
-// Spare tells whether the account may have so many tokens more where there is
-// room.
-func (s Share) Spare(tokens float64) bool {
-	return s.Within(tokens) || s.Admitted+tokens <= s.SpareLevel
-}
+// Spare tells whether the account may have another request where there is room.
+func (s Share) Spare() bool { return s.Within() || s.Admitted < s.SpareLevel }
 
-// Within tells whether the account may have so many tokens more.
-func (s Share) Within(tokens float64) bool {
-	return s.Asked <= s.Level || s.Admitted+tokens <= s.Level
-}
+// Within tells whether the account may have another request. Its size does not
+// matter: near the level the largest would be refused most often.
+func (s Share) Within() bool { return s.Asked <= s.Level || s.Admitted < s.Level }
 
 // Share returns the account's share when all engines process so many tokens
 // within the window.
