--- a/internal/raft/append.go
+++ b/internal/raft/append.go
@@ -265,6 +265,11 @@
 	}
 	n.commitTo(index)
 	n.releaseReads()
+	if index == n.log.lastIndex() {
+		// No append will tell it soon, and a leader that is lost now must not
+		// leave the others to an election before they know.
+		n.broadcastCommit()
+	}
 	if n.configurationIndex <= index && !n.configuration.IsVoter(n.cfg.Self) {
 		n.broadcastCommit()
 		n.becomeFollower(now, n.term, Member{})
--- a/internal/raft/directed_test.go
+++ b/internal/raft/directed_test.go
@@ -271,3 +271,22 @@
 		})
 	}
 }
+
+// TestFollowersLearnCommitsAtOnce checks that followers know of a commit without
+// the next heartbeat: its leader may be lost by then.
+func TestFollowersLearnCommitsAtOnce(t *testing.T) {
+	s := newDirected("", 3, 3)
+	a, b, c := s.places[0], s.places[1], s.places[2]
+	s.elect(t, a, b)
+	s.exchange(5, a, b, c)
+	index, _, err := a.node.Propose(s.now, []byte("42"))
+	qt.Assert(t, err, qt.IsNil)
+	s.work(a, stopNever)
+	for len(s.network) > 0 {
+		s.hand(s.take(0), stopNever)
+	}
+	for _, p := range s.places {
+		qt.Check(t, p.node.Status(s.now).Commit, qt.Equals, index, qt.Commentf("%v", p.member))
+	}
+	qt.Check(t, s.violation, qt.Equals, "")
+}
