Turn accounts beyond their share away first when a router is overloaded

Cause: on the grown sites one router gets the callers of a flooding account and has 0.19 of a core; it turned all its callers away alike, small accounts and those within their share too. It now finds the route and the account first, which it did for the count anyway, and turns away up to all of the accounts beyond their share before any other. TestFloodIsShedFirst failed before.

--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -131,12 +131,17 @@
 )
 
 // turnAway refuses a request at once, and the connection with it: the caller's
-// next one reaches another daemon.
-func (f *Forwarder) turnAway() *failure {
+// next one reaches another daemon. What an account asks for counts all the same,
+// so that it counts as one that wants more.
+func (f *Forwarder) turnAway(t *task, resolved bool) *failure {
+	now := time.Now()
 	switch {
 	case f.refusing.Load():
 		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
-	case f.overloaded():
+	case f.overloaded(now, t, resolved):
+		if resolved {
+			f.cfg.Gate.asked(now, t.account, t.tokens())
+		}
 		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: drainingRetryAfter, message: "this daemon has too much to do"}
 	default:
 		return nil
@@ -145,7 +150,7 @@
 
 // overloaded tells whether to turn a request away since this daemon could not
 // keep up.
-func (f *Forwarder) overloaded() bool {
+func (f *Forwarder) overloaded(now time.Time, t *task, resolved bool) bool {
 	if f.cfg.MaxActive > 0 && f.Active() > f.cfg.MaxActive {
 		return true
 	}
@@ -153,16 +158,23 @@
 	if lag >= starvedLag && f.cfg.Unsynced() >= starvedAfter {
 		return true
 	}
-	return shed(lag, rand.Float64())
+	if lag <= lagFrom {
+		return false
+	}
+	return shed(lag, !resolved || f.cfg.Gate.beyond(now, t.account), rand.Float64())
 }
 
 // Overloaded tells whether this daemon turns away most of its requests.
 func (f *Forwarder) Overloaded() bool { return f.cfg.Lag() >= (lagFrom+lagAll)/2 }
 
-// shed tells whether to turn a request away at a lag. random is uniform in
-// [0, 1).
-func shed(lag time.Duration, random float64) bool {
-	return float64(lag-lagFrom) > random*float64(lagAll-lagFrom)
+// shed tells whether to turn a request away at a lag: all of those that go first
+// before any other. random is uniform in [0, 1).
+func shed(lag time.Duration, first bool, random float64) bool {
+	part := 2 * float64(lag-lagFrom) / float64(lagAll-lagFrom)
+	if !first {
+		part--
+	}
+	return part > random
 }
 
 // digest identifies the request's content.
--- a/internal/edge/gate.go
+++ b/internal/edge/gate.go
@@ -158,6 +158,13 @@
 	return g.wait(ctx, waiting, s)
 }
 
+// beyond tells whether an account has used its share.
+func (g *Gate) beyond(now time.Time, account string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.capacity > 0 && !g.ledger.Share(now, account, g.capacity).Within()
+}
+
 // asked counts what an account asks for and does not get.
 func (g *Gate) asked(now time.Time, account string, tokens float64) {
 	if tokens == 0 {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -17,14 +17,14 @@
 	request := f.cfg.Codec.Decode(r)
 	a := &answer{w: w, control: http.NewResponseController(w), close: f.draining.Load()}
 	t := &task{request: request, answer: a}
-	failed := f.turnAway()
+	unresolved := f.resolve(t)
+	failed := f.turnAway(t, unresolved == nil)
 	if failed != nil {
 		// What is left unread of a body would reset the connection.
 		_, _ = io.CopyN(io.Discard, r.Body, directReadBytes)
 		a.close = true
-		f.countTurnedAway(t)
 	} else {
-		failed = f.resolve(t)
+		failed = unresolved
 	}
 	if failed == nil {
 		failed = readBody(w, r, t, f.cfg.Tables.Table())
@@ -52,14 +52,6 @@
 	}
 }
 
-// countTurnedAway counts what the account asks for though it is turned away, so
-// that it counts as one that wants more.
-func (f *Forwarder) countTurnedAway(t *task) {
-	if f.resolve(t) == nil {
-		f.cfg.Gate.asked(time.Now(), t.account, t.tokens())
-	}
-}
-
 // writeSlack is how long after the caller's time an answer may still be
 // written.
 const writeSlack = 500 * time.Millisecond
