Bound the callers' connections of a router by its memory and descriptors

Requests under way were bounded, connections were not. There is room for half of the descriptors, and a quarter of the memory at 24 KB each; what comes beyond is closed at once, unread, and the router is not ready from three quarters on. TestListenerHasRoom failed before.

--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -54,6 +54,10 @@
 	// requestMemory the part of the memory that they may take.
 	requestBytes  = 64 << 10
 	requestMemory = 1.0 / 3
+	// connectionBytes is about the memory of a caller's connection, and
+	// connectionMemory the part of the memory that they may take.
+	connectionBytes  = 24 << 10
+	connectionMemory = 1.0 / 4
 	// maxIdleConnections bounds the unused connections to one endpoint.
 	maxIdleConnections = 4
 	// maxAnswerBytes bounds an endpoint's answer.
@@ -105,6 +109,17 @@
 	return most
 }
 
+// connectionRoom returns how many callers' connections may be open, by the
+// descriptors and the memory that there are. Each may need another to an
+// endpoint.
+func connectionRoom(s *settings.Site) int {
+	room := max(s.MaxDescriptors-reservedDescriptors, 2) / 2
+	if s.MemoryMB > 0 {
+		room = min(room, int(float64(s.MemoryMB<<20)*connectionMemory)/connectionBytes)
+	}
+	return room
+}
+
 func newRouter(d *Daemon) *router {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{
@@ -116,7 +131,7 @@
 			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdle, MaxIdle: maxIdleConnections, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
 		}),
 	}
-	r.open = newConnections(d.settings.MaxConnections, func() time.Duration {
+	r.open = newConnections(d.settings.MaxConnections, connectionRoom(d.settings), func() time.Duration {
 		if table := r.Table(); table != nil {
 			return table.Limits().IdleTimeout
 		}
@@ -149,6 +164,8 @@
 		return "the daemon is shutting down"
 	case r.Table() == nil:
 		return "no routing table is known yet"
+	case r.open.nearlyFull():
+		return "too many connections are open"
 	case r.forwarder.Overloaded():
 		return "the daemon has too much to do"
 	default:
@@ -177,6 +194,12 @@
 // Active returns the number of requests under way.
 func (r *router) Active() int { return r.forwarder.Active() }
 
+// Connections returns the number of callers' connections that are open.
+func (r *router) Connections() int { return r.open.count() }
+
+// RefusedConnections returns how many were closed at once for want of room.
+func (r *router) RefusedConnections() int64 { return r.open.turnedAway.Load() }
+
 // Unsynced returns how long no control host has answered.
 func (r *router) Unsynced() time.Duration { return time.Since(time.Unix(0, r.synced.Load())) }
 
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,9 @@
 	clientKeepAlive = 5 * time.Second
 	// keepAliveProbes is how many unanswered probes end a connection.
 	keepAliveProbes = 3
+	// nearlyFullPart is the part of the room for connections from which a
+	// router is not ready for more.
+	nearlyFullPart = 0.75
 )
 
 // server is one HTTP listener and its server.
@@ -41,6 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
+	listener = &boundedListener{Listener: listener, open: open}
 	s := &server{http: &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: open.changed,
 		// What the server says of single connections is no news.
@@ -59,29 +64,64 @@
 	return err
 }
 
+// boundedListener closes new connections at once while as many are open as there
+// is room for. Their callers have sent nothing that was read, and try another
+// daemon.
+type boundedListener struct {
+	net.Listener
+	open *connections
+}
+
+func (l *boundedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || !l.open.full() {
+			return conn, err
+		}
+		l.open.turnedAway.Add(1)
+		_ = conn.Close() // The caller may be gone.
+	}
+}
+
 // connections closes those connections of a server that were unused for too
 // long. It is safe for concurrent use.
 type connections struct {
-	// most is how many may be open before they count as too many.
-	most int
+	// most is how many may be open before they count as too many, and room how
+	// many may be open at all; 0 for no bound.
+	most, room int
 	// idle returns how long a connection may be unused; 0 for no word on that.
 	idle func() time.Duration
 
+	// turnedAway counts those that were closed for want of room.
+	turnedAway atomic.Int64
+
 	mu sync.Mutex
 	// open holds a timer for each connection that is unused, and nil for the
 	// others.
 	open map[net.Conn]*time.Timer
 }
 
-func newConnections(most int, idle func() time.Duration) *connections {
-	return &connections{most: most, idle: idle, open: make(map[net.Conn]*time.Timer)}
+func newConnections(most, room int, idle func() time.Duration) *connections {
+	return &connections{most: most, room: room, idle: idle, open: make(map[net.Conn]*time.Timer)}
 }
 
-// crowded tells whether too many connections are open.
-func (c *connections) crowded() bool {
+// full tells whether there is no room for another connection, and nearlyFull
+// whether there soon will be none.
+func (c *connections) full() bool { return c.room > 0 && c.count() >= c.room }
+
+func (c *connections) nearlyFull() bool {
+	return c.room > 0 && float64(c.count()) >= nearlyFullPart*float64(c.room)
+}
+
+func (c *connections) count() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.open) > c.most
+	return len(c.open)
+}
+
+// crowded tells whether too many connections are open.
+func (c *connections) crowded() bool {
+	return c.count() > c.most
 }
 
 // changed follows the state of a connection.
--- a/internal/site/server_test.go
+++ b/internal/site/server_test.go
@@ -10,12 +10,14 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/settings"
 )
 
-// testServer serves on a loopback address and closes connections that were
-// unused for idle.
-func testServer(c *qt.C, idle time.Duration, handler http.HandlerFunc) (string, *connections) {
-	open := newConnections(100, func() time.Duration { return idle })
+// testServer serves on a loopback address, has room for so many connections, 0
+// for any number, and closes those that were unused for idle.
+func testServer(c *qt.C, room int, idle time.Duration, handler http.HandlerFunc) (string, *connections) {
+	open := newConnections(100, room, func() time.Duration { return idle })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	address := listener.Addr().String()
@@ -28,7 +30,7 @@
 
 func TestUnusedConnectionEnds(t *testing.T) {
 	c := qt.New(t)
-	address, open := testServer(c, 20*time.Millisecond, func(w http.ResponseWriter, _ *http.Request) {
+	address, open := testServer(c, 0, 20*time.Millisecond, func(w http.ResponseWriter, _ *http.Request) {
 		time.Sleep(60 * time.Millisecond) // A connection in use outlasts the limit.
 		_, _ = io.WriteString(w, "answer")
 	})
@@ -53,7 +55,7 @@
 // a request is under way on it.
 func TestLateTimerCutsNoRequest(t *testing.T) {
 	c := qt.New(t)
-	open := newConnections(100, func() time.Duration { return time.Hour })
+	open := newConnections(100, 0, func() time.Duration { return time.Hour })
 	server, client := net.Pipe()
 	defer client.Close()
 	defer server.Close()
@@ -72,3 +74,55 @@
 	_, err = server.Read(b[:])
 	c.Check(err, qt.IsNotNil)
 }
+
+// TestListenerHasRoom opens more connections than there is room for: those
+// beyond are closed at once, and there is room again when others end.
+func TestListenerHasRoom(t *testing.T) {
+	c := qt.New(t)
+	address, open := testServer(c, 2, time.Hour, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	asks := func(conn net.Conn) error {
+		fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}
+	var conns []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", address)
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		c.Assert(asks(conn), qt.IsNil)
+		conns = append(conns, conn)
+	}
+	c.Check(open.nearlyFull(), qt.IsTrue)
+	beyond, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer beyond.Close()
+	c.Check(asks(beyond), qt.IsNotNil)
+	c.Check(open.turnedAway.Load(), qt.Equals, int64(1))
+	c.Check(asks(conns[0]), qt.IsNil)
+
+	c.Assert(conns[0].Close(), qt.IsNil)
+	for open.full() {
+		time.Sleep(time.Millisecond)
+	}
+	again, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	defer again.Close()
+	c.Check(asks(again), qt.IsNil)
+}
+
+func TestConnectionRoom(t *testing.T) {
+	tests := []struct{ memoryMB, descriptors, want int }{
+		{0, 4096, 1648},
+		{112, 4096, 1194},
+		{284, 4096, 1648},
+		{0, 0, 1},
+	}
+	for _, test := range tests {
+		got := connectionRoom(&settings.Site{MemoryMB: test.memoryMB, MaxDescriptors: test.descriptors})
+		qt.Check(t, got, qt.Equals, test.want)
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -127,7 +127,7 @@
 
 // connections returns the bounds of a listener that is not the callers'.
 func (d *Daemon) connections() *connections {
-	return newConnections(d.settings.MaxConnections, func() time.Duration { return 0 })
+	return newConnections(d.settings.MaxConnections, 0, func() time.Duration { return 0 })
 }
 
 // serve opens a listener, unless the address is empty.
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -128,6 +128,8 @@
 	Unsynced() time.Duration
 	Endpoints() int
 	Active() int
+	Connections() int
+	RefusedConnections() int64
 }
 
 // Router registers what a router of a site believes.
@@ -142,6 +144,10 @@
 		func() float64 { return float64(r.Endpoints()) })
 	Gauge(registry, "oleanderramp_requests_active", "Requests under way.",
 		func() float64 { return float64(r.Active()) })
+	Gauge(registry, "oleanderramp_connections_open", "Connections of callers that are open.",
+		func() float64 { return float64(r.Connections()) })
+	Counter(registry, "oleanderramp_connections_refused_total", "Connections of callers that were closed at once for want of room.",
+		func() float64 { return float64(r.RefusedConnections()) })
 }
 
 // Voters registers the number of the quorum's voters.
