Send nothing on for callers who have left before the router got to it

A router that is short of processor time took the request and its end off the socket late and in one go, and sent it on before the server's own watch of the connection had run. The socket is looked at right before each send now.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -29,6 +29,10 @@
 		if refused != nil {
 			return f.notPlaced(ctx, t, refused, callErr)
 		}
+		if f.cfg.Left(ctx) {
+			placed.ticket.end(time.Now(), balance.Abandoned)
+			return callerGone()
+		}
 		callErr = f.attempt(ctx, t, placed)
 		if callErr == nil {
 			return nil
@@ -169,7 +173,7 @@
 func (f *Forwarder) notPlaced(ctx context.Context, t *task, refused *failure, before *endpoint.CallError) *failure {
 	switch {
 	case ctx.Err() != nil:
-		return &failure{outcome: OutcomeAbandoned, code: CodeCallerGone, message: "the caller has gone"}
+		return callerGone()
 	case before != nil && before.Kind == endpoint.EndpointError:
 		return f.giveUp(ctx, t, before)
 	case t.mayHaveRun:
@@ -183,7 +187,7 @@
 func (f *Forwarder) giveUp(ctx context.Context, t *task, err *endpoint.CallError) *failure {
 	switch {
 	case ctx.Err() != nil:
-		return &failure{outcome: OutcomeAbandoned, code: CodeCallerGone, message: "the caller has gone"}
+		return callerGone()
 	case !time.Now().Before(t.deadline) && t.mayHaveRun:
 		return &failure{status: 504, outcome: OutcomeFailed, code: CodeTimeout, message: "no whole answer in time"}
 	case err.Kind == endpoint.EndpointError && !t.answer.passed():
@@ -198,6 +202,10 @@
 	}
 }
 
+func callerGone() *failure {
+	return &failure{outcome: OutcomeAbandoned, code: CodeCallerGone, message: "the caller has gone"}
+}
+
 // tokens returns what the request costs of its account's share: a token read
 // counts once, a token generated twice.
 func (t *task) tokens() float64 {
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -82,6 +83,8 @@
 	tables    *tables
 	// lag and unsynced are what the daemon says of itself, in nanoseconds.
 	lag, unsynced atomic.Int64
+	// left says that callers have closed their connections.
+	left atomic.Bool
 }
 
 func document() routing.Document {
@@ -128,7 +131,7 @@
 	client := endpoint.NewClient(endpoint.ClientConfig{Headers: adapter.Headers()})
 	s.forwarder = edge.New(edge.Config{
 		Codec: adapter, Endpoints: client, Tables: s.tables, Gate: gate, Metrics: noMetrics{},
-		Crowded: func() bool { return false }, Lag: func() time.Duration { return time.Duration(s.lag.Load()) },
+		Crowded: func() bool { return false }, Left: func(context.Context) bool { return s.left.Load() }, Lag: func() time.Duration { return time.Duration(s.lag.Load()) },
 		Unsynced: func() time.Duration { return time.Duration(s.unsynced.Load()) },
 		Log:      l, MaxAnswerBytes: 1 << 20,
 	})
@@ -436,6 +439,26 @@
 	<-ended
 }
 
+// TestNothingIsSentForCallersWhoLeft checks that a request whose caller has
+// closed its connection before it could be sent goes nowhere, and leaves its
+// place to others.
+func TestNothingIsSentForCallersWhoLeft(t *testing.T) {
+	c := qt.New(t)
+	e := newEndpoint(c, ok("a"))
+	s := newSite(c, e)
+	s.left.Store(true)
+	request, err := http.NewRequest("POST", s.server.URL+"/stream/", strings.NewReader("x"))
+	c.Assert(err, qt.IsNil)
+	request.Host = "a.example"
+	request.Header.Set("Oleanderramp-Key", "secret")
+	request.Header.Set("Oleanderramp-Token-Count", "1000,50")
+	_, err = http.DefaultTransport.RoundTrip(request)
+	c.Check(err, qt.IsNotNil)
+	c.Check(e.seen(), qt.HasLen, 0)
+	loads, _, _ := s.gate.Own(time.Now())
+	c.Check(loads, qt.HasLen, 0)
+}
+
 // TestTimeout checks that the caller gets its final answer when its time, or
 // that of the route, is over.
 func TestTimeout(t *testing.T) {
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"hash/fnv"
 	"maps"
 	"math/rand/v2"
@@ -28,6 +29,9 @@
 	// Crowded tells whether too many callers' connections are open; those of
 	// refused requests are closed then.
 	Crowded func() bool
+	// Left tells whether the caller of a request, by its context, has closed its
+	// connection by now.
+	Left func(ctx context.Context) bool
 	// Lag tells how long what this daemon has to do waits for the processor.
 	Lag func() time.Duration
 	// Unsynced tells how long no control host has answered this daemon.
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -138,7 +138,7 @@
 		return 0
 	})
 	r.forwarder = edge.New(edge.Config{
-		Crowded: r.open.crowded, Lag: r.lag.value, Unsynced: r.Unsynced, MaxActive: maxActive(d.settings),
+		Crowded: r.open.crowded, Left: callerLeft, Lag: r.lag.value, Unsynced: r.Unsynced, MaxActive: maxActive(d.settings),
 		Codec: d.adapter, Endpoints: r.client, Tables: r, Gate: r.gate, Log: d.log,
 		Metrics: telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
 	})
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -47,7 +47,7 @@
 	}
 	listener = &boundedListener{Listener: listener, open: open}
 	s := &server{http: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: open.changed,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: open.changed, ConnContext: withConn,
 		// What the server says of single connections is no news.
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}}
