--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -57,7 +57,7 @@
 	// connectionBytes is about the memory of a caller's connection, and
 	// connectionMemory the part of the memory that they may take.
 	connectionBytes  = 24 << 10
-	connectionMemory = 1.0 / 4
+	connectionMemory = 1.0 / 2
 	// maxIdleConnections bounds the unused connections to one endpoint.
 	maxIdleConnections = 4
 	// maxAnswerBytes bounds an endpoint's answer.
@@ -110,10 +110,10 @@
 }
 
 // connectionRoom returns how many callers' connections may be open, by the
-// descriptors and the memory that there are. Each may need another to an
-// endpoint.
+// descriptors and the memory that there are. Those of requests under way need
+// another to an endpoint.
 func connectionRoom(s *settings.Site) int {
-	room := max(s.MaxDescriptors-reservedDescriptors, 2) / 2
+	room := max(s.MaxDescriptors-reservedDescriptors-maxActive(s), 1)
 	if s.MemoryMB > 0 {
 		room = min(room, int(float64(s.MemoryMB<<20)*connectionMemory)/connectionBytes)
 	}
