--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -15,6 +15,9 @@
 )
 
 const (
+	// startLimit bounds the start of a site. It is no part of a verdict on
+	// speed.
+	startLimit = time.Minute
 	// applyBound is how long after its acknowledgement a version may be unknown
 	// to a router, and recoverBound how long after the last fault a site may
 	// not serve.
@@ -28,10 +31,10 @@
 	all, stopAll := context.WithCancel(context.Background())
 	defer stopAll()
 	version, body := s.versions.next(0, false)
-	first, stopFirst := context.WithTimeout(all, recoverBound)
+	first, stopFirst := context.WithTimeout(all, startLimit)
 	defer stopFirst()
 	if !s.order(first, version, body, random) {
-		s.journal.find("RECOVER", "the first order is not acknowledged within %v", recoverBound)
+		s.journal.find("RECOVER", "the first order is not acknowledged within %v", startLimit)
 		return
 	}
 	for _, p := range slices.Concat(s.controls, s.routers) {
