Look for cached parts only where the first is known; tidy the soak

Found in a last read of the change. Choosing an endpoint worked out the lifetime of unused parts for every endpoint of the service, also for those that hold none of the prompt: the answer is the same without.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -152,6 +152,9 @@
 		return h
 	}
 	for i, e := range s.endpoints {
+		if _, known := e.cache[chain[0].key]; !known {
+			continue
+		}
 		h.held[i] = e.cache.held(now, chain, s.lifetime(e.load(now)))
 		if h.held[i] == 0 || s.engine.FetchRate == 0 || e.down(now) {
 			continue
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -136,7 +136,7 @@
 		address := e.site.controlAddress(turn % len(e.site.controls))
 		status, _, err := send(ctx, address, http.MethodPost, outside.AnnouncePath(r.id), body, announceTimeout)
 		if err == nil && status == http.StatusOK && leaving {
-			r.acknowledged.CompareAndSwap(0, int64(time.Since(e.site.journal.started)))
+			r.acknowledged.CompareAndSwap(0, int64(e.site.since()))
 		}
 		if !sleep(ctx, announcePeriod) {
 			return
@@ -161,7 +161,6 @@
 	if err != nil {
 		return
 	}
-	w.Header().Set("X-Endpoint", r.id)
 	outside.MarkAnswer(w.Header(), call.ID, r.id)
 	if call.Expected != r.id {
 		outside.MarkNotRun(w.Header())
@@ -175,7 +174,7 @@
 	}
 	e.site.ledger.ran(call.ID, execution{
 		endpoint: r.id, service: r.service, account: call.Account, key: call.Key, path: request.URL.Path, body: string(body),
-		at: time.Since(e.site.journal.started), left: time.Duration(r.acknowledged.Load()),
+		at: e.site.since(), left: time.Duration(r.acknowledged.Load()),
 	})
 	failing := rand.Int32N(100) < e.failing.Load()
 	if r.service == engineService {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -138,15 +138,14 @@
 	}},
 }
 
-// injector makes the faults of one run, as its seed says. Each fault draws
-// from a source of its own, so that the times of others change nothing.
+// injector makes one fault, as the seed says.
 type injector struct {
 	site   *Site
 	random *rand.Rand
 	name   string
 }
 
-// inject begins faults until the context ends, and waits until all have ended.
+// inject begins faults until the context ends; Site.troubles has those that last.
 func (s *Site) inject(ctx context.Context, random *rand.Rand) {
 	total := 0
 	for _, f := range faults {
@@ -158,7 +157,7 @@
 			at -= f.weight
 			return at < 0
 		})
-		f := &injector{site: s, name: faults[i].name, random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))}
+		f := &injector{site: s, name: faults[i].name, random: branch(random)}
 		s.troubles.Go(func() {
 			s.journal.fault("%s begins", f.name)
 			faults[i].run(f, ctx)
@@ -298,8 +297,8 @@
 	}
 }
 
-// hold keeps the bytes to and from a control host back for a while: those to
-// it, and if both is set those from it.
+// hold keeps the bytes to a control host back for a while, those from it, or
+// both.
 func (f *injector) hold(ctx context.Context, in, out bool) {
 	p := f.control()
 	own, source := f.site.relayOf(p), p.settings.PeerSource()
--- a/internal/soak/findings.go
+++ b/internal/soak/findings.go
@@ -32,16 +32,19 @@
 	faults   []string
 }
 
+// since returns the time since the start.
+func (j *journal) since() time.Duration { return time.Since(j.started) }
+
 func (j *journal) find(promise, format string, args ...any) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if len(j.findings) < maxFindings {
-		j.findings = append(j.findings, Finding{At: time.Since(j.started), Promise: promise, Detail: fmt.Sprintf(format, args...)})
+		j.findings = append(j.findings, Finding{At: j.since(), Promise: promise, Detail: fmt.Sprintf(format, args...)})
 	}
 }
 
 func (j *journal) fault(format string, args ...any) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.faults = append(j.faults, fmt.Sprintf("%7.3fs %s", time.Since(j.started).Seconds(), fmt.Sprintf(format, args...)))
+	j.faults = append(j.faults, fmt.Sprintf("%7.3fs %s", j.since().Seconds(), fmt.Sprintf(format, args...)))
 }
--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -43,7 +43,8 @@
 		}
 	}
 	s.callers(all, s.config.Callers)
-	s.beside(random, func(random *rand.Rand) { s.read(all, random) })
+	reads := branch(random)
+	s.work.Go(func() { s.read(all, reads) })
 	for i := range s.routers {
 		s.work.Go(func() { s.probe(all, i) })
 	}
@@ -51,10 +52,10 @@
 	defer stopTrouble()
 	var operators sync.WaitGroup
 	for operator := range 2 {
-		r := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
-		operators.Go(func() { s.operate(trouble, operator, r) })
+		orders := branch(random)
+		operators.Go(func() { s.operate(trouble, operator, orders) })
 	}
-	s.inject(trouble, rand.New(rand.NewPCG(random.Uint64(), random.Uint64())))
+	s.inject(trouble, branch(random))
 	operators.Wait()
 	s.troubles.Wait()
 	s.recover(all, random)
@@ -64,10 +65,10 @@
 	s.work.Wait()
 }
 
-// beside runs work with a source of its own.
-func (s *Site) beside(random *rand.Rand, work func(*rand.Rand)) {
-	r := rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
-	s.work.Go(func() { work(r) })
+// branch returns a source of its own for a part of the run, so that the times of
+// other parts change nothing there.
+func branch(random *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 }
 
 // callers starts more callers.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -39,6 +39,8 @@
 
 func (p *Process) name() string { return p.settings.Host }
 
+func (p *Process) settingsPath() string { return filepath.Join(p.folder, p.name()+".json") }
+
 // start starts the program unless it runs.
 func (p *Process) start() error {
 	p.mu.Lock()
@@ -46,8 +48,7 @@
 	if p.cmd != nil {
 		return nil
 	}
-	path := filepath.Join(p.folder, p.name()+".json")
-	if err := p.writeSettings(path); err != nil {
+	if err := p.writeSettings(); err != nil {
 		return err
 	}
 	output, err := os.OpenFile(filepath.Join(p.folder, p.name()+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
@@ -55,7 +56,7 @@
 		return fmt.Errorf("log of %s: %w", p.name(), err)
 	}
 	defer output.Close() // The program has its own descriptor.
-	cmd := exec.Command(p.program, "site", "--settings", path)
+	cmd := exec.Command(p.program, "site", "--settings", p.settingsPath())
 	cmd.Stdout, cmd.Stderr = output, output
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.name(), err)
@@ -81,7 +82,7 @@
 }
 
 // writeSettings writes the settings. p.mu is held, or nothing runs yet.
-func (p *Process) writeSettings(path string) error {
+func (p *Process) writeSettings() error {
 	data, err := json.Marshal(p.settings)
 	if err != nil {
 		return fmt.Errorf("settings of %s: %w", p.name(), err)
@@ -91,7 +92,7 @@
 			return fmt.Errorf("data folder of %s: %w", p.name(), err)
 		}
 	}
-	if err := os.WriteFile(path, data, 0o600); err != nil {
+	if err := os.WriteFile(p.settingsPath(), data, 0o600); err != nil {
 		return fmt.Errorf("settings of %s: %w", p.name(), err)
 	}
 	return nil
@@ -102,7 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	change(p.settings)
-	return p.writeSettings(filepath.Join(p.folder, p.name()+".json"))
+	return p.writeSettings()
 }
 
 // signal sends a signal to the program if it runs.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -96,12 +97,12 @@
 	// calmFrom and calmTo bound the time without faults, since the start; 0
 	// for not ended.
 	calmFrom, calmTo time.Duration
-	// callerCount numbers the callers.
-	callerCount int
 
 	// mu guards what follows.
 	mu       sync.Mutex
 	diskLost time.Time
+	// callerCount numbers the callers.
+	callerCount int
 }
 
 // Run makes one run. The error says that it could not be made.
@@ -112,8 +113,7 @@
 	if err := s.build(); err != nil {
 		return Report{}, err
 	}
-	random := rand.New(rand.NewPCG(config.Seed, 0))
-	s.run(random)
+	s.run(rand.New(rand.NewPCG(config.Seed, 0)))
 	s.checkLedger()
 	return s.report(), nil
 }
@@ -138,7 +138,7 @@
 const zoneCount = 3
 
 // since returns the time since the start.
-func (s *Site) since() time.Duration { return time.Since(s.journal.started) }
+func (s *Site) since() time.Duration { return s.journal.since() }
 
 // build starts relays, processes and endpoints.
 func (s *Site) build() error {
@@ -204,7 +204,7 @@
 	r := Report{Findings: s.journal.findings, Faults: s.journal.faults, Requests: len(s.ledger.requests)}
 	_, r.Versions = s.versions.known()
 	for _, request := range s.ledger.requests {
-		if request.whole && request.status < 300 {
+		if request.whole && request.status < http.StatusMultipleChoices {
 			r.Served++
 		}
 	}
