Identify crashing requests of a site by service, and drop expired quarantines

The digest of a crashing request took the account where the service belongs, so the same request from another account was not recognised and crashed more endpoints. TestCrashDigestIsOfTheService failed before.

MergeQuarantined added records that had expired, and kept the crash count of an expired suspect. It now takes the present time.

--- a/internal/edge/crashes.go
+++ b/internal/edge/crashes.go
@@ -201,7 +201,7 @@
 			continue
 		}
 		known := c.table.StatusOf(now, crasher.Digest).Status == quarantine.Quarantined
-		if !known && c.table.MergeQuarantined(crasher.Digest, crasher.Until) {
+		if !known && c.table.MergeQuarantined(now, crasher.Digest, crasher.Until) {
 			event.RequestQuarantined.Log(c.log, event.Fields{"digest": crasher.Digest.String(), "until": crasher.Until})
 		}
 	}
--- a/internal/edge/crashes_test.go
+++ b/internal/edge/crashes_test.go
@@ -89,3 +89,15 @@
 	other.recordUnreachable(at(1.6), "e")
 	c.Check(other.verdictOf(at(2), "d").Status, qt.Equals, quarantine.Suspect)
 }
+
+// TestCrashDigestIsOfTheService guards against a crashing request that is not
+// recognised because another account sends it.
+func TestCrashDigestIsOfTheService(t *testing.T) {
+	c := qt.New(t)
+	request := &Request{Method: "POST", Target: "/a", Body: []byte("prompt")}
+	of := func(service, account string) quarantine.Digest {
+		return (&task{request: request, service: service, account: account}).digest()
+	}
+	c.Check(of("s", "one"), qt.Equals, of("s", "two"))
+	c.Check(of("s", "one"), qt.Not(qt.Equals), of("t", "one"))
+}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -187,7 +187,7 @@
 
 // digest identifies the request's content.
 func (t *task) digest() quarantine.Digest {
-	return quarantine.NewDigest(t.account, t.request.Method, t.request.Target, t.request.Body)
+	return quarantine.NewDigest(t.service, t.request.Method, t.request.Target, t.request.Body)
 }
 
 // resolve finds the route and the account of the request.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -207,9 +207,13 @@
 }
 
 // MergeQuarantined quarantines a digest that another router has quarantined. It
-// returns false when the digest is already quarantined at least that long.
-func (t *Table) MergeQuarantined(digest Digest, until time.Time) bool {
-	r := t.records[digest]
+// returns false when the quarantine has ended, or the digest is already
+// quarantined at least that long.
+func (t *Table) MergeQuarantined(now time.Time, digest Digest, until time.Time) bool {
+	if !now.Before(until) {
+		return false
+	}
+	r := t.lookup(now, digest)
 	if r == nil {
 		t.add(digest, &record{quarantined: true, until: until})
 		return true
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -69,8 +69,8 @@
 func TestMergeFromOtherRouters(t *testing.T) {
 	table := quarantine.New(quarantine.Config{})
 	bad, odd := digest("bad"), digest("odd")
-	qt.Check(t, table.MergeQuarantined(bad, start.Add(time.Minute)), qt.IsTrue)
-	qt.Check(t, table.MergeQuarantined(bad, start.Add(time.Minute)), qt.IsFalse)
+	qt.Check(t, table.MergeQuarantined(start, bad, start.Add(time.Minute)), qt.IsTrue)
+	qt.Check(t, table.MergeQuarantined(start, bad, start.Add(time.Minute)), qt.IsFalse)
 	qt.Check(t, table.StatusOf(start, bad).Status, qt.Equals, quarantine.Quarantined)
 	qt.Check(t, table.MergeSuspect(start, odd), qt.IsTrue)
 	qt.Check(t, table.MergeSuspect(start, bad), qt.IsFalse)
@@ -78,9 +78,25 @@
 	qt.Check(t, table.RecordCrash(start, []quarantine.Digest{odd}), qt.HasLen, 1)
 }
 
+// TestMergeIgnoresExpiredQuarantine guards against records that a merge adds or
+// keeps although they have expired: they would occupy the table and show a
+// suspect's old crashes as new ones.
+func TestMergeIgnoresExpiredQuarantine(t *testing.T) {
+	table := quarantine.New(quarantine.Config{SuspectTime: time.Second})
+	qt.Check(t, table.MergeQuarantined(start, digest("late"), start), qt.IsFalse)
+	qt.Check(t, table.Len(), qt.Equals, 0)
+	table.RecordCrash(start, []quarantine.Digest{digest("old")})
+	qt.Check(t, table.TryStart(start, digest("old")), qt.IsTrue)
+	later := start.Add(time.Minute)
+	qt.Check(t, table.MergeQuarantined(later, digest("old"), later), qt.IsFalse)
+	qt.Check(t, table.StatusOf(later, digest("old")).Status, qt.Equals, quarantine.Clear)
+	qt.Check(t, table.MergeQuarantined(later, digest("old"), later.Add(time.Minute)), qt.IsTrue)
+	qt.Check(t, table.StatusOf(later, digest("old")).Status, qt.Equals, quarantine.Quarantined)
+}
+
 func TestFullTableDropsSuspectsFirst(t *testing.T) {
 	table := quarantine.New(quarantine.Config{MaxEntries: 2})
-	table.MergeQuarantined(digest("bad"), start.Add(time.Minute))
+	table.MergeQuarantined(start, digest("bad"), start.Add(time.Minute))
 	table.RecordCrash(start, []quarantine.Digest{digest("a")})
 	table.RecordCrash(start.Add(time.Second), []quarantine.Digest{digest("b")})
 	qt.Check(t, table.Len(), qt.Equals, 2)
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -144,7 +144,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, entry := range quarantined {
-		r.quarantine.MergeQuarantined(entry.Digest, entry.Until)
+		r.quarantine.MergeQuarantined(now, entry.Digest, entry.Until)
 	}
 	for _, digest := range suspects {
 		r.quarantine.MergeSuspect(now, digest)
