--- a/internal/logring/logring.go
+++ b/internal/logring/logring.go
@@ -20,11 +20,15 @@
 // AsyncWriter writes log lines in a goroutine of its own. It is safe for
 // concurrent use.
 type AsyncWriter struct {
-	lines     chan []byte
-	dropped   atomic.Uint64
-	stop      chan struct{}
-	closeOnce sync.Once
-	done      sync.WaitGroup
+	lines   chan []byte
+	dropped atomic.Uint64
+	stop    chan struct{}
+	done    sync.WaitGroup
+
+	// mu is held for reading while a line is queued, so that no line is queued
+	// after the last drain.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New starts an AsyncWriter that writes to w.
@@ -48,10 +52,17 @@
 func (r *AsyncWriter) Dropped() uint64 { return r.dropped.Load() }
 
 // Write queues one line. It never blocks and never returns an error: a line
-// that does not fit into the buffer is dropped.
+// that does not fit into the buffer, or comes after Close, is dropped and
+// counted.
 func (r *AsyncWriter) Write(p []byte) (int, error) {
 	line := make([]byte, len(p))
 	copy(line, p)
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if r.closed {
+		r.dropped.Add(1)
+		return len(p), nil
+	}
 	select {
 	case r.lines <- line:
 	default:
@@ -88,9 +99,14 @@
 }
 
 // Close writes the queued lines and stops the writer. Lines written afterwards
-// are not written out.
+// are dropped and counted.
 func (r *AsyncWriter) Close() error {
-	r.closeOnce.Do(func() { close(r.stop) })
+	r.mu.Lock()
+	if !r.closed {
+		r.closed = true
+		close(r.stop)
+	}
+	r.mu.Unlock()
 	r.done.Wait()
 	return nil
 }
--- a/internal/logring/logring_test.go
+++ b/internal/logring/logring_test.go
@@ -48,6 +48,30 @@
 	c.Check(written > 0 && written < lines, qt.IsTrue, qt.Commentf("%d", written))
 }
 
+// TestLinesAfterCloseAreCounted writes from several goroutines while the writer
+// closes: each line must be either written or counted as dropped.
+func TestLinesAfterCloseAreCounted(t *testing.T) {
+	c := qt.New(t)
+	w := &blockedWriter{release: make(chan struct{})}
+	close(w.release)
+	r := logring.New(w)
+	const writers, lines = 4, 200
+	var done sync.WaitGroup
+	for range writers {
+		done.Go(func() {
+			for range lines {
+				_, _ = r.Write([]byte("line\n")) // Write never fails.
+			}
+		})
+	}
+	c.Assert(r.Close(), qt.IsNil)
+	done.Wait()
+	_, err := r.Write([]byte("line\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Close(), qt.IsNil)
+	c.Check(strings.Count(w.got.String(), "line\n")+int(r.Dropped()), qt.Equals, writers*lines+1)
+}
+
 func TestRateLimiter(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(100, 0)
--- a/internal/settings/site.go
+++ b/internal/settings/site.go
@@ -193,9 +193,7 @@
 	if _, err := netip.ParseAddr(s.Address); err != nil {
 		list.Addf("address", "%q is not an IP address", s.Address)
 	}
-	if len(s.PeerPorts) == 0 || s.PeerPorts[0] < 1 || s.PeerPorts[0] > maxPort {
-		list.Addf("peer_ports", "must start with a port from 1 to %d", maxPort)
-	}
+	s.validatePeerPorts(list)
 	if _, err := netip.ParseAddrPort(s.Listen.Peers); err != nil && s.Listen.Peers != "" {
 		list.Addf("listen.peers", "%q is not of the form \"IP:port\"", s.Listen.Peers)
 	}
@@ -208,6 +206,22 @@
 
 const maxPort = 65535
 
+// validatePeerPorts checks that the list holds the first and, if the range has
+// more than one port, the last port.
+func (s *Site) validatePeerPorts(list *finding.List) {
+	if len(s.PeerPorts) == 0 || len(s.PeerPorts) > 2 {
+		list.Addf("peer_ports", "must hold the first and the last port of a range, not %d ports", len(s.PeerPorts))
+	}
+	for i, port := range s.PeerPorts {
+		if port < 1 || port > maxPort {
+			list.Addf(fmt.Sprintf("peer_ports[%d]", i), "%d is not a port from 1 to %d", port, maxPort)
+		}
+	}
+	if len(s.PeerPorts) == 2 && s.PeerPorts[1] < s.PeerPorts[0] {
+		list.Addf("peer_ports", "the last port %d is below the first port %d", s.PeerPorts[1], s.PeerPorts[0])
+	}
+}
+
 func (s *Site) validateNumbers(list *finding.List) {
 	if s.ToleratedHosts < 0 {
 		list.Addf("tolerated_hosts", "must not be negative")
