Grant the longest wait of an account first, and decide on observed values

Queues of one account were compared by arrival, so that a request taken over from a former scheduler lost the time that it had waited. A batch with observed values only did not run the scheduler before the next tick, up to 50 ms later. Both mends have a test that failed before.

--- a/internal/measure/traffic.go
+++ b/internal/measure/traffic.go
@@ -102,7 +102,7 @@
 		})
 	}
 	for _, r := range x.Returned {
-		m.Returned = append(m.Returned, &wire.LoanReturn{Loan: r.Loan, Used: r.Used, Cost: r.Cost})
+		m.Returned = append(m.Returned, &wire.LoanReturn{Loan: r.Loan, Used: r.Used})
 	}
 	return m
 }
--- a/internal/scheduler/class.go
+++ b/internal/scheduler/class.go
@@ -155,12 +155,17 @@
 func (q *queue) head() *request { return q.items[0] }
 
 // precedes reports whether the first request of q is before that of o in order.
-// The queues may belong to different classes.
+// The queues may belong to different classes. Of one account's requests, the one
+// that has waited longest is first.
 func (q *queue) precedes(o *queue) bool {
 	if q.account != o.account {
 		return before(q.account, o.account)
 	}
-	return q.head().arrival < o.head().arrival
+	head, other := q.head(), o.head()
+	if !head.since.Equal(other.since) {
+		return head.since.Before(other.since)
+	}
+	return head.arrival < other.arrival
 }
 
 // queueHeap orders the queues of one class by account.
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -60,11 +60,10 @@
 	ExpiresIn time.Duration
 }
 
-// LoanReturn ends a loan. Cost is that of the last request that ran on it.
+// LoanReturn ends a loan.
 type LoanReturn struct {
 	Loan uint64
 	Used bool
-	Cost float64
 }
 
 // Outgoing is an exchange to send to a region.
--- a/internal/scheduler/loan.go
+++ b/internal/scheduler/loan.go
@@ -276,6 +276,6 @@
 
 // returnLoan queues the return of a borrowed slot for the next exchange.
 func (s *Scheduler) returnLoan(l *borrowedSlot) {
-	l.region.returns = append(l.region.returns, LoanReturn{Loan: l.Loan.Loan, Used: l.used, Cost: l.cost})
+	l.region.returns = append(l.region.returns, LoanReturn{Loan: l.Loan.Loan, Used: l.used})
 	s.regions.urgent = true
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -66,6 +66,17 @@
 	c.Assert(count, qt.DeepEquals, map[string]int{"large": 30, "small": 10})
 }
 
+// TestLongestWaitIsFirst guards against an order by arrival among the queues of
+// one account: a request that a former scheduler kept waiting arrives here after
+// one of another model, but has waited longer.
+func TestLongestWaitIsFirst(t *testing.T) {
+	c := qt.New(t)
+	s := newScheduler(endpoint("e1", 1))
+	s.Enqueue(start, scheduler.Request{ID: id(1), Account: "a", Kind: "k", Estimate: 1, Model: "x"})
+	s.Enqueue(start, scheduler.Request{ID: id(2), Account: "a", Kind: "k", Estimate: 1, Model: "y", Waited: time.Second})
+	c.Assert(granted(s.Decide(start)), qt.DeepEquals, map[uint64]string{2: "e1"})
+}
+
 func TestTrueCostIsChargedOnce(t *testing.T) {
 	for _, cost := range []float64{0, 0.5, 3} {
 		t.Run(fmt.Sprint(cost), func(t *testing.T) {
--- a/internal/scheduling/exchange.go
+++ b/internal/scheduling/exchange.go
@@ -60,7 +60,7 @@
 		})
 	}
 	for _, r := range x.GetReturned() {
-		e.Returned = append(e.Returned, scheduler.LoanReturn{Loan: r.GetLoan(), Used: r.GetUsed(), Cost: r.GetCost()})
+		e.Returned = append(e.Returned, scheduler.LoanReturn{Loan: r.GetLoan(), Used: r.GetUsed()})
 	}
 	return e
 }
@@ -88,7 +88,7 @@
 		})
 	}
 	for _, r := range e.Returned {
-		x.Returned = append(x.Returned, &wire.LoanReturn{Loan: r.Loan, Used: r.Used, Cost: r.Cost})
+		x.Returned = append(x.Returned, &wire.LoanReturn{Loan: r.Loan, Used: r.Used})
 	}
 	return x
 }
--- a/internal/scheduling/loop_test.go
+++ b/internal/scheduling/loop_test.go
@@ -115,6 +115,17 @@
 	}
 }
 
+// TestObservedServiceIsDecidedAtOnce guards against observed values that take
+// effect only at the next tick: the scheduler must run after a batch that holds
+// nothing else.
+func TestObservedServiceIsDecidedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	b := newTestLoop()
+	session := b.openSession(epoch, "a", &wire.RouterBatch{})
+	b.receive(epoch, session, &wire.RouterBatch{Accounts: []*wire.AccountService{{Service: "v", Account: "account", VirtualService: 5}}})
+	c.Assert(b.instances[0].dirty, qt.IsTrue)
+}
+
 // TestCloseOfReplacedStream checks that the late end of a stream does not end
 // the stream that replaced it.
 func TestCloseOfReplacedStream(t *testing.T) {
--- a/internal/scheduling/receive.go
+++ b/internal/scheduling/receive.go
@@ -23,6 +23,7 @@
 	for _, a := range batch.GetAccounts() {
 		s := l.instance(now, a.GetService(), session.region)
 		s.scheduler.Observe(now, a.GetAccount(), a.GetVirtualService())
+		s.dirty = true
 	}
 	for _, r := range batch.GetRunning() {
 		l.adopt(now, session, r)
