Pass the present time to raft's Advance

It passed the heartbeat deadline as the present time. Ruled out: a late election deadline. Advance can only step down for a commit that the leader's own sync brings about, and a leader that is no voter does not count in the majority, so the value had no effect. The argument is right now all the same.

--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -1,5 +1,7 @@
 package raft
 
+import "time"
+
 // output collects the content of the next Ready.
 type output struct {
 	// stored is the hard state that was last synced.
@@ -77,7 +79,7 @@
 }
 
 // Advance reports to the node that all work of the last Ready is done.
-func (n *Node) Advance(r Ready) {
+func (n *Node) Advance(now time.Time, r Ready) {
 	n.output.beforeSync = nil
 	n.output.afterSync = nil
 	n.output.snapshot = nil
@@ -94,7 +96,7 @@
 		n.log.delivered = r.Committed[len(r.Committed)-1].Index
 	}
 	if n.role == RoleLeader {
-		n.advanceCommit(n.heartbeatDeadline)
+		n.advanceCommit(now)
 	}
 }
 
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -237,7 +237,7 @@
 			return
 		}
 		s.apply(p, ready)
-		p.node.Advance(ready)
+		p.node.Advance(s.now, ready)
 	}
 	s.checkLeader(p)
 }
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -215,7 +215,7 @@
 		if err := d.handleReady(ready); err != nil {
 			return err
 		}
-		d.node.Advance(ready)
+		d.node.Advance(time.Now(), ready)
 	}
 	d.reportLeadershipChange()
 	d.publishStatus()
