Read the quorum's refusals when a lease, a watch or an incarnation changes

A watch of bundles resumed at its version after a delta that did not fit, and got the same delta for ever: it now asks for the whole bundle. register returned the incarnation that had replaced the registered one. A refused release of an outdated lease counted as done, so the outdated fencing token was used again (TestRefusedReleaseIsRepeated failed before).

--- a/internal/daemon/bundles.go
+++ b/internal/daemon/bundles.go
@@ -35,6 +35,8 @@
 	lastSuspects map[quarantine.Digest]bool
 	// generation is incremented with each change of current or drained.
 	generation uint64
+	// lastRefused is true while the last update did not yield a valid bundle.
+	lastRefused bool
 	// stalenessLogged is true once a refusal for staleness has been logged. The
 	// next update resets it.
 	stalenessLogged atomic.Bool
@@ -59,6 +61,18 @@
 	return 0
 }
 
+// ResumeVersion returns the version from which to resume a watch. After an update
+// that did not yield a valid bundle it is 0, which requests the whole bundle:
+// from the version in force the same delta would come again.
+func (b *bundleHolder) ResumeVersion() uint64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if b.lastRefused || b.current == nil {
+		return 0
+	}
+	return b.current.Version()
+}
+
 // Admit returns the bundle, or the reason why the daemon must refuse the
 // request. A daemon without contact to the quorum keeps serving idempotent
 // requests until the bundle's staleness limit has passed. The limit does not
@@ -117,6 +131,7 @@
 // does not yield a valid bundle; the caller then restarts its watch.
 func (b *bundleHolder) update(now time.Time, u *wire.BundleUpdate) error {
 	next, err := b.nextBundle(u)
+	b.setLastRefused(err != nil)
 	if err != nil {
 		event.BundleRefused.Log(b.log, event.Fields{"version": u.GetVersion(), "error": err.Error()})
 		return err
@@ -140,6 +155,12 @@
 	return nil
 }
 
+func (b *bundleHolder) setLastRefused(refused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lastRefused = refused
+}
+
 // nextBundle returns the bundle that the update puts in force.
 func (b *bundleHolder) nextBundle(u *wire.BundleUpdate) (*bundle.Bundle, error) {
 	current := b.Current()
--- a/internal/daemon/bundles_test.go
+++ b/internal/daemon/bundles_test.go
@@ -41,6 +41,21 @@
 	c.Check(bundles.Version(), qt.Equals, uint64(4))
 }
 
+// TestWatchResumesWithWholeBundleAfterBadDelta guards against a watch that
+// resumes at its version after a delta that did not fit, and gets the same delta
+// for ever.
+func TestWatchResumesWithWholeBundleAfterBadDelta(t *testing.T) {
+	c := qt.New(t)
+	bundles := newTestBundles()
+	c.Check(bundles.ResumeVersion(), qt.Equals, uint64(0))
+	c.Assert(bundles.update(start, documentUpdate(c, 4, 60)), qt.IsNil)
+	c.Check(bundles.ResumeVersion(), qt.Equals, uint64(4))
+	c.Check(bundles.update(start, &wire.BundleUpdate{Version: 5, Base: 4, Delta: []byte("no delta")}), qt.IsNotNil)
+	c.Check(bundles.ResumeVersion(), qt.Equals, uint64(0))
+	c.Assert(bundles.update(start, documentUpdate(c, 5, 60)), qt.IsNil)
+	c.Check(bundles.ResumeVersion(), qt.Equals, uint64(5))
+}
+
 func TestAdmit(t *testing.T) {
 	c := qt.New(t)
 	bundles := newTestBundles()
--- a/internal/daemon/placementrole.go
+++ b/internal/daemon/placementrole.go
@@ -144,9 +144,7 @@
 // outdated.
 func (r *placementRole) renew(ctx context.Context) {
 	if r.isFenceOutdated() {
-		if _, err := r.acquire(ctx, 0); err == nil {
-			r.setFenceOutdated(false)
-		}
+		r.releaseOutdatedFence(ctx)
 		return
 	}
 	sent := r.cfg.now()
@@ -167,6 +165,27 @@
 	}
 }
 
+// releaseOutdatedFence ends the lease in the quorum, so that the next one gets a
+// larger fencing token. It is repeated in the next period unless the lease has
+// certainly ended or belongs to another holder.
+func (r *placementRole) releaseOutdatedFence(ctx context.Context) {
+	result, err := r.acquire(ctx, 0)
+	if err != nil {
+		return
+	}
+	switch refused := result.GetError(); refused.GetCode() {
+	case "", state.CodeFenceHeld:
+		r.setFenceOutdated(false)
+	case state.CodeProcessAbandoned:
+		r.renewIncarnation(r.cfg.now())
+		r.setFenceOutdated(false)
+	default:
+		event.PlacementLeaseLost.Log(r.cfg.log, event.Fields{
+			"host": r.cfg.self.GetHost(), "lease": r.leaseName(), "reason": "outdated lease not released: " + refused.GetCode(),
+		})
+	}
+}
+
 // renewIncarnation replaces the holder's incarnation after the quorum has
 // abandoned it.
 func (r *placementRole) renewIncarnation(now time.Time) {
--- a/internal/daemon/placementrole_test.go
+++ b/internal/daemon/placementrole_test.go
@@ -30,6 +30,8 @@
 	machine *state.Machine
 	// unreachable makes Execute fail.
 	unreachable bool
+	// refusal is the code with which Execute refuses all commands, if any.
+	refusal string
 }
 
 func newFakeQuorum(now func() time.Time) *fakeQuorum {
@@ -42,6 +44,9 @@
 	if f.unreachable {
 		return nil, errors.New("no quorum")
 	}
+	if f.refusal != "" {
+		return &wire.Result{Error: &wire.CommandError{Code: f.refusal}}, nil
+	}
 	command.NowUnixMs = f.now().UnixMilli()
 	data, err := proto.Marshal(command)
 	if err != nil {
@@ -277,3 +282,20 @@
 	h.former.renew(h.Context())
 	h.Assert(h.former.currentLease().FencingToken(), qt.Equals, uint64(2))
 }
+
+// TestRefusedReleaseIsRepeated guards against an outdated fencing token that is
+// used again because the quorum's refusal to release the lease was not read.
+func TestRefusedReleaseIsRepeated(t *testing.T) {
+	h := newTwoHolders(t, time.Now(), true)
+	h.former.renew(h.Context())
+	h.Assert(h.former.currentLease().FencingToken(), qt.Equals, uint64(1))
+	h.former.releaseLease(1, "an engine has seen a larger fencing token")
+	h.former.setFenceOutdated(true)
+	quorum := h.former.cfg.quorum.(*fakeQuorum)
+	quorum.refusal = state.CodeBadCommand
+	h.former.renew(h.Context())
+	quorum.refusal = ""
+	h.former.renew(h.Context())
+	h.former.renew(h.Context())
+	h.Assert(h.former.currentLease().FencingToken(), qt.Equals, uint64(2))
+}
--- a/internal/daemon/recordstore.go
+++ b/internal/daemon/recordstore.go
@@ -25,9 +25,15 @@
 	replicationWaitTimeout = 300 * time.Millisecond
 )
 
+// quorumClient executes commands and queries on the replicated state.
+type quorumClient interface {
+	Execute(ctx context.Context, command *wire.Command) (*wire.Result, error)
+	Query(ctx context.Context, request *wire.QueryRequest) (*wire.QueryResponse, error)
+}
+
 // recordStore keeps at-most-once records in the replicated state.
 type recordStore struct {
-	quorum *peer.Quorum
+	quorum quorumClient
 	host   string
 	log    log.Interface
 
@@ -39,12 +45,13 @@
 	registered bool
 }
 
-func newRecordStore(quorum *peer.Quorum, self *wire.Process, l log.Interface) *recordStore {
+func newRecordStore(quorum quorumClient, self *wire.Process, l log.Interface) *recordStore {
 	return &recordStore{quorum: quorum, host: self.GetHost(), process: self, log: l}
 }
 
 // register registers the current incarnation with the quorum if necessary, and
-// returns it.
+// returns it. If the incarnation is replaced in the meantime, register returns
+// the former one, and Begin learns that it was abandoned.
 func (s *recordStore) register(ctx context.Context) (*wire.Process, error) {
 	s.mu.Lock()
 	process, registered := s.process, s.registered
@@ -61,7 +68,7 @@
 	if s.process == process {
 		s.registered = true
 	}
-	return s.process, nil
+	return process, nil
 }
 
 // renew replaces the abandoned incarnation by a new one.
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -35,7 +35,7 @@
 	hosts := replicaHosts(s)
 	w.done.Go(func() {
 		for attempt := 0; ctx.Err() == nil; attempt++ {
-			request := &wire.WatchBundleRequest{Watcher: self, Have: bundles.Version()}
+			request := &wire.WatchBundleRequest{Watcher: self, Have: bundles.ResumeVersion()}
 			if local != nil {
 				_ = watchLocal(ctx, local, request, bundles) // Retried after watchRetryDelay.
 			} else if len(hosts) > 0 {
