Refuse routing tables that are too large, and read a call's connection locked

A routing table above 16 MiB was cut on decompression without an error. The limit is checked when a table is accepted and has an error of its own on reading. connectionError read the connection without its mutex.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -277,21 +277,29 @@
 	a.reused = info.Reused
 }
 
-// abandonConn closes the connection and reports whether a byte of the request
-// may have been sent.
-func (a *attempt) abandonConn() bool {
+// abandonedConn describes the connection of a call that was given up.
+type abandonedConn struct {
+	// connected reports whether there was a connection, and reused whether it
+	// had served an earlier call.
+	connected, reused bool
+	// sent reports whether a byte of the request may have been sent.
+	sent bool
+}
+
+// abandonConn closes the connection, if there is one, and describes it.
+func (a *attempt) abandonConn() abandonedConn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.conn == nil {
-		return false
+		return abandonedConn{}
 	}
-	return a.conn.abort() > a.writesBefore
+	return abandonedConn{connected: true, reused: a.reused, sent: a.conn.abort() > a.writesBefore}
 }
 
 // connectionError returns the error for a failed connection. kind is the kind to
 // report if the connection ended while the request was in progress.
 func (a *attempt) connectionError(kind Kind, err error) *CallError {
-	sent := a.abandonConn()
+	conn := a.abandonConn()
 	cause := context.Cause(a.ctx)
 	switch {
 	case errors.Is(cause, errSilent):
@@ -299,12 +307,12 @@
 	case cause != nil:
 		kind, err = CallerGone, cause
 	}
-	if a.conn == nil && kind != CallerGone {
+	if !conn.connected && kind != CallerGone {
 		kind = DialFailed
-	} else if !sent && kind != CallerGone {
+	} else if !conn.sent && kind != CallerGone {
 		kind = NotSent
 	}
-	return &CallError{Kind: kind, Reused: a.reused, sent: sent, err: err}
+	return &CallError{Kind: kind, Reused: conn.reused, sent: conn.sent, err: err}
 }
 
 // hopByHop lists the hop-by-hop headers, which apply to one connection only.
--- a/internal/site/convert.go
+++ b/internal/site/convert.go
@@ -16,9 +16,13 @@
 	"oleanderramp/internal/wire"
 )
 
-// maxDocumentBytes bounds the size of a decompressed routing table.
+// maxDocumentBytes bounds the size of a routing table as the operator sends it.
 const maxDocumentBytes = 16 << 20
 
+// errDocumentTooLarge is the error of a routing table of more than
+// maxDocumentBytes.
+var errDocumentTooLarge = fmt.Errorf("routing table is larger than %d bytes", maxDocumentBytes)
+
 // compress returns the document in its stored and transmitted form.
 func compress(document []byte) []byte {
 	var out bytes.Buffer
@@ -28,11 +32,24 @@
 	return out.Bytes()
 }
 
-// decompress reverses compress.
+// checkSize returns errDocumentTooLarge for a document that decompress would
+// refuse.
+func checkSize(document []byte) error {
+	if len(document) > maxDocumentBytes {
+		return errDocumentTooLarge
+	}
+	return nil
+}
+
+// decompress reverses compress. It returns errDocumentTooLarge instead of a
+// part of a document that is too large.
 func decompress(data []byte) ([]byte, error) {
-	document, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDocumentBytes))
-	if err != nil {
+	document, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxDocumentBytes+1))
+	switch {
+	case err != nil:
 		return nil, fmt.Errorf("decompress routing table: %w", err)
+	case len(document) > maxDocumentBytes:
+		return nil, errDocumentTooLarge
 	}
 	return document, nil
 }
--- a/internal/site/quorum.go
+++ b/internal/site/quorum.go
@@ -145,8 +145,12 @@
 	return count, votes
 }
 
-// Replace puts a routing table in force.
+// Replace puts a routing table in force. It refuses one that no daemon could
+// decompress.
 func (c *control) Replace(ctx context.Context, version uint64, document []byte) error {
+	if err := checkSize(document); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
 	defer cancel()
 	if err := c.waitForVoters(ctx); err != nil {
