Log the time to the first event beside the prediction

The line of an answered request did not say when its first event came, so that its lateness could only be guessed. It now has the endpoint, the time until the placement, the predicted and the measured time to the first event.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -66,6 +66,7 @@
 	if refused != nil {
 		return placed, refused
 	}
+	t.endpoint, t.predicted, t.placedAt = placed.choice.Endpoint.ID, placed.choice.Predicted, time.Now()
 	fields := t.logFields()
 	t.placementFields = nil
 	fields["endpoint"], fields["predicted_ms"] = placed.choice.Endpoint.ID, placed.choice.Predicted.Milliseconds()
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -116,6 +116,15 @@
 	answer *answer
 	// placementFields holds the log fields that explain the last placement.
 	placementFields event.Fields
+	// predicted is the predicted time from the last placement to the first
+	// event or the answer. placedAt is the time of that placement.
+	predicted time.Duration
+	placedAt  time.Time
+	// endpoint is the ID of the last endpoint that the request was placed at.
+	endpoint string
+	// firstEventAt is when the first event of a stream arrived; zero before
+	// that.
+	firstEventAt time.Time
 }
 
 const (
@@ -240,12 +249,24 @@
 	return fields
 }
 
+// addTimings adds what explains a late answer: the endpoint, how long the request
+// waited before it was placed there, and when the first event was predicted from
+// then on and came.
+func (t *task) addTimings(fields event.Fields) {
+	fields["endpoint"], fields["predicted_ms"] = t.endpoint, t.predicted.Milliseconds()
+	fields["placed_ms"] = t.placedAt.Sub(t.request.ReceivedAt).Milliseconds()
+	if !t.firstEventAt.IsZero() {
+		fields["first_event_ms"] = t.firstEventAt.Sub(t.placedAt).Milliseconds()
+	}
+}
+
 // recordEnd logs and counts the end of a request.
 func (f *Forwarder) recordEnd(t *task, fail *failure) {
 	took := time.Since(t.request.ReceivedAt)
 	fields := t.logFields()
 	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), t.reachedEndpoints, t.answer.sent
 	if fail == nil {
+		t.addTimings(fields)
 		fields["outcome"], fields["status"] = string(OutcomeOK), t.answer.status
 		f.cfg.Metrics.RequestEnded(t.service, string(OutcomeOK), "", took)
 		event.RequestAnswered.Log(f.cfg.Log, fields)
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -35,7 +35,10 @@
 	}
 	if failed == nil {
 		a.stream, a.resumableRoute, a.deadline = t.isStream(), t.isStream() && t.route.Resumable, t.deadline.Add(writeSlack)
-		a.onFirstEvent = func() { f.cfg.Metrics.ObserveFirstEvent(t.service, time.Since(request.ReceivedAt)) }
+		a.onFirstEvent = func() {
+			t.firstEventAt = time.Now()
+			f.cfg.Metrics.ObserveFirstEvent(t.service, t.firstEventAt.Sub(request.ReceivedAt))
+		}
 		failed = f.run(r.Context(), t)
 	}
 	f.finishAnswer(t, failed)
