Sum the load of routers once for all of them, and choose control hosts by zone

Cause: a control host summed the loads of all routers again for each call of each router, so that its work grew with the square of the routers. All routers of a region used the same control host, and a router without a routing table called all of them at once.

Routers use the control host of their zone. Routing tables come from the primary alone while it answers and is not behind. A router without a table calls two hosts at a time. Control hosts and routers of the former version are answered as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -129,6 +129,13 @@
 	return Load{Running: l.Running + other.Running, Prefill: l.Prefill + other.Prefill, Memory: l.Memory + other.Memory}
 }
 
+// Subtract returns the difference of both loads. No value falls below 0.
+func (l Load) Subtract(other Load) Load {
+	return Load{
+		Running: max(l.Running-other.Running, 0), Prefill: max(l.Prefill-other.Prefill, 0), Memory: max(l.Memory-other.Memory, 0),
+	}
+}
+
 // Reason is the reason why no endpoint was chosen.
 type Reason string
 
--- a/internal/balance/reservation.go
+++ b/internal/balance/reservation.go
@@ -39,10 +39,7 @@
 
 // release subtracts the load from the endpoint's own load.
 func (r *Reservation) release(load Load) {
-	e := r.endpoint
-	e.own.Running = max(e.own.Running-load.Running, 0)
-	e.own.Prefill = max(e.own.Prefill-load.Prefill, 0)
-	e.own.Memory = max(e.own.Memory-load.Memory, 0)
+	r.endpoint.own = r.endpoint.own.Subtract(load)
 }
 
 // RecordEvents records that count events of the answer were received. The first
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -82,6 +82,7 @@
 	RoutingRefused       = define(520, log.WarnLevel, "order on the routing table refused")
 	RoutingInForce       = define(521, log.InfoLevel, "routing table in force")
 	RoutingUnreadable    = define(522, log.ErrorLevel, "routing table unreadable")
+	LoadUnreadable       = define(525, log.ErrorLevel, "load of other routers unreadable")
 	DamagedFilesSetAside = define(523, log.ErrorLevel, "damaged files set aside")
 )
 
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -28,11 +28,6 @@
 	repairPeriod = 100 * time.Millisecond
 	// memberChangeTimeout bounds one membership change.
 	memberChangeTimeout = time.Second
-	// routerLoadTTL is how long a router's load counts after its last report.
-	routerLoadTTL = time.Second
-	// peerLoadTTL is the same for the load that another control host reports
-	// for its routers.
-	peerLoadTTL = 2 * time.Second
 	// replaceTimeout bounds a replacement of the routing table, readTimeout a
 	// confirmed read of it.
 	replaceTimeout = 4 * time.Second
@@ -79,10 +74,8 @@
 	crashers []crasherReport
 	// inFlight holds the control hosts to which a call is in progress.
 	inFlight map[string]bool
-	// routerLoads holds the load of the routers that report to this host, and
-	// peerLoads the sums reported by the other control hosts.
-	routerLoads map[string]timedLoad
-	peerLoads   map[string]timedLoad
+	// loads holds the load that routers and control hosts report.
+	loads *loadSums
 }
 
 func newControl(d *Daemon) (*control, error) {
@@ -92,7 +85,7 @@
 		store: state.NewStore(state.Limits{}), replicator: peer.NewReplicator(d.dialer), failed: make(chan error, 1), quorumLog: stateserver.NewQuorumLogger(d.log),
 		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
 		cursors: make(map[string]syncCursor), inFlight: make(map[string]bool), cached: prefixes.New(),
-		routerLoads: make(map[string]timedLoad), peerLoads: make(map[string]timedLoad),
+		loads: newLoadSums(),
 	}
 	if err := c.startReplica(); err != nil {
 		return nil, errors.Join(err, c.replicator.Close())
--- a/internal/site/exchange.go
+++ b/internal/site/exchange.go
@@ -24,12 +24,6 @@
 // crasherReportTTL is how long a control host passes a crashing request on.
 const crasherReportTTL = 3 * time.Second
 
-// timedLoad is a load report and when it was received.
-type timedLoad struct {
-	load *wire.LoadReport
-	at   time.Time
-}
-
 // describe returns the description of this control host that it sends to
 // others.
 func (c *control) describe() *wire.ControlHost {
@@ -43,31 +37,52 @@
 func (c *control) Exchange(now time.Time, request *wire.SyncRequest) *wire.SyncResponse {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	sender := request.GetSender().GetHost()
-	if request.GetControl() != nil {
-		recordContact(c.log, c.hosts, now, request.GetControl(), request.GetHosts())
-		c.peerLoads[sender] = timedLoad{load: request.GetLoad(), at: now}
-	} else if request.GetLoad() != nil {
-		c.routerLoads[sender] = timedLoad{load: request.GetLoad(), at: now}
-	}
+	c.record(now, request)
 	response := &wire.SyncResponse{
 		Responder: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)),
 		DirectoryEpoch: c.self.GetIncarnation(), DirectoryRevision: c.directory.Revision(),
+		Crashers: crashersToWire(now, c.recentCrashers(now)),
 	}
-	for _, e := range cachedFromWire(now, request.GetCached()) {
-		c.cached.Report(now, e)
+	c.addUpdates(now, request, response)
+	c.addRouting(request, response)
+	if request.GetLoad() == nil || request.GetControl() != nil {
+		return response
 	}
-	if request.GetControl() == nil {
+	router := request.GetSender().GetHost()
+	if request.GetLoadSequence() == 0 {
+		response.Load = c.loads.others(now, router)
+	} else {
+		response.TotalLoad, response.LoadSequence = c.loads.all(now, router)
+	}
+	return response
+}
+
+// record records what the sender reports. The caller holds c.mu.
+func (c *control) record(now time.Time, request *wire.SyncRequest) {
+	sender := request.GetSender().GetHost()
+	if request.GetControl() != nil {
+		recordContact(c.log, c.hosts, now, request.GetControl(), request.GetHosts())
+		c.loads.reportPeer(now, sender, request.GetLoad())
+	} else {
 		c.addCrashers(now, request.GetCrashers())
+		if request.GetLoad() != nil {
+			c.loads.reportRouter(now, sender, request.GetLoad(), request.GetLoadSequence())
+		}
+	}
+	for _, e := range cachedFromWire(now, request.GetCached()) {
+		c.cached.Report(now, e)
 	}
-	response.Crashers = crashersToWire(now, c.recentCrashers(now))
+}
+
+// addUpdates adds the endpoints and cached prompt parts that the sender lacks.
+// All control hosts exchange updates with each other, so each sends the others
+// only what it received from endpoints and routers itself. A router gets renewals
+// only from its primary. The caller holds c.mu.
+func (c *control) addUpdates(now time.Time, request *wire.SyncRequest, response *wire.SyncResponse) {
 	since, cachedSince := request.GetDirectoryRevision(), request.GetCacheRevision()
 	if request.GetDirectoryEpoch() != c.self.GetIncarnation() {
 		since, cachedSince = 0, 0
 	}
-	// All control hosts exchange updates with each other, so each sends the
-	// others only what it received from endpoints and routers itself. A router
-	// gets renewals only from its primary.
 	scope, cached := directory.All, c.cached.Since
 	switch {
 	case request.GetControl() != nil:
@@ -79,16 +94,17 @@
 	if request.GetLoad() != nil {
 		response.CacheRevision, response.Cached = c.cached.Revision(), cachedToWire(now, cached(cachedSince))
 	}
-	if routing := c.store.Routing(); routing.GetVersion() > 0 {
-		response.RoutingVersion = routing.GetVersion()
-		if request.GetControl() == nil && routing.GetVersion() > request.GetRoutingVersion() {
-			response.RoutingDocument = routing.GetDocument()
-		}
-	}
-	if request.GetLoad() != nil && request.GetControl() == nil {
-		response.Load = c.othersLoad(now, sender)
+}
+
+// addRouting adds the version of the routing table in force, and the table
+// itself for a router that has an older one and does not get it elsewhere.
+func (c *control) addRouting(request *wire.SyncRequest, response *wire.SyncResponse) {
+	table := c.store.Routing()
+	response.RoutingVersion = table.GetVersion()
+	newer := table.GetVersion() > request.GetRoutingVersion()
+	if newer && request.GetControl() == nil && !request.GetOmitDocument() {
+		response.RoutingDocument = table.GetDocument()
 	}
-	return response
 }
 
 // addCrashers records the crashing requests that a router has found or another
@@ -119,36 +135,6 @@
 	return list
 }
 
-// othersLoad returns the load of all routers except one. The caller holds c.mu.
-func (c *control) othersLoad(now time.Time, router string) *wire.LoadReport {
-	var list []*wire.LoadReport
-	for name, r := range c.routerLoads {
-		if name != router && now.Sub(r.at) < routerLoadTTL {
-			list = append(list, r.load)
-		}
-	}
-	for _, r := range c.peerLoads {
-		if now.Sub(r.at) < peerLoadTTL {
-			list = append(list, r.load)
-		}
-	}
-	return sumReports(list)
-}
-
-// ownLoad returns the load of the routers that report to this host, and removes
-// those that have stopped reporting. The caller holds c.mu.
-func (c *control) ownLoad(now time.Time) *wire.LoadReport {
-	var list []*wire.LoadReport
-	for name, r := range c.routerLoads {
-		if now.Sub(r.at) >= routerLoadTTL {
-			delete(c.routerLoads, name)
-			continue
-		}
-		list = append(list, r.load)
-	}
-	return sumReports(list)
-}
-
 // recordContact records direct contact with a control host, and adds the hosts
 // that it has reported as candidates.
 func recordContact(l log.Interface, table *discovery.Table, now time.Time, host *wire.ControlHost, hosts []*wire.ControlHost) {
@@ -165,6 +151,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	load := c.loads.own(now)
 	for _, address := range c.hosts.Targets(now) {
 		if c.inFlight[address] {
 			continue
@@ -172,7 +159,7 @@
 		c.inFlight[address] = true
 		cursor := c.cursors[address]
 		request := &wire.SyncRequest{
-			Sender: c.self, Control: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)), Load: c.ownLoad(now),
+			Sender: c.self, Control: c.describe(), Hosts: hostsToWire(c.hosts.Alive(now)), Load: load,
 			DirectoryEpoch: cursor.epoch, DirectoryRevision: cursor.revision, CacheRevision: cursor.cache,
 		}
 		c.done.Go(func() { c.syncPeer(ctx, address, request) })
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -26,6 +26,9 @@
 	// primaryBackoff is how long a control host that failed as the primary is
 	// not chosen again. Meanwhile it is called in turn with the others.
 	primaryBackoff = 3 * time.Second
+	// primarySilence is how long after its last answer the primary is expected to
+	// send newer routing tables, so that the other control hosts need not.
+	primarySilence = 300 * time.Millisecond
 	// othersSyncPeriod is the interval between calls to the other control
 	// hosts, of which each call goes to the next.
 	othersSyncPeriod = 250 * time.Millisecond
@@ -102,6 +105,14 @@
 	primary string
 	// primaryFailures is when each host last failed as the primary.
 	primaryFailures map[string]time.Time
+	// primaryAnsweredAt is when the primary last answered.
+	primaryAnsweredAt time.Time
+	// newestVersion is the highest version of the routing table that a control
+	// host has named. newerSince is since when it is above the one in force.
+	newestVersion uint64
+	newerSince    time.Time
+	// sentLoads holds this router's latest load reports.
+	sentLoads *sentLoads
 	// otherRouters is the number of other routers of the site.
 	otherRouters int
 }
@@ -134,7 +145,7 @@
 		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, dialer: d.dialer, stop: cancel,
 		admission: edge.NewAdmissionController(d.settings.Region, d.settings.ShareWindow()),
 		hosts:     discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
-		cursors: make(map[string]syncCursor), primaryFailures: make(map[string]time.Time),
+		cursors: make(map[string]syncCursor), primaryFailures: make(map[string]time.Time), sentLoads: newSentLoads(),
 		client: endpoint.NewClient(endpoint.ClientConfig{
 			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdleTimeout, MaxIdle: maxIdleConnections, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
 		}),
--- a/internal/site/router_test.go
+++ b/internal/site/router_test.go
@@ -23,10 +23,24 @@
 	}
 }
 
+func TestInTurn(t *testing.T) {
+	c := qt.New(t)
+	list := []string{"a", "b", "c"}
+	c.Check(inTurn(list, 0, 2), qt.DeepEquals, []string{"a", "b"})
+	c.Check(inTurn(list, 5, 2), qt.DeepEquals, []string{"c", "a"})
+	c.Check(inTurn(list, 1, 5), qt.DeepEquals, []string{"b", "c", "a"})
+	c.Check(inTurn(nil, 1, 2), qt.HasLen, 0)
+}
+
 func TestNearest(t *testing.T) {
 	c := qt.New(t)
-	hosts := []discovery.Host{{Address: "a", Region: "x"}, {Address: "b", Region: "y"}, {Address: "c", Region: "y"}}
-	c.Check(nearest(hosts, "y"), qt.Equals, "b")
-	c.Check(nearest(hosts, "z"), qt.Equals, "a")
-	c.Check(nearest(nil, "y"), qt.Equals, "")
+	hosts := []discovery.Host{
+		{Address: "a", Region: "x", Zone: "x-1"}, {Address: "b", Region: "y", Zone: "y-1"},
+		{Address: "c", Region: "y", Zone: "y-2"}, {Address: "d", Region: "y", Zone: "y-2"},
+	}
+	c.Check(nearest(hosts, "y", "y-1"), qt.Equals, "b")
+	c.Check(nearest(hosts, "y", "y-2"), qt.Equals, "c")
+	c.Check(nearest(hosts, "y", "y-3"), qt.Equals, "b")
+	c.Check(nearest(hosts, "z", "z-1"), qt.Equals, "a")
+	c.Check(nearest(nil, "y", "y-1"), qt.Equals, "")
 }
--- a/internal/site/routersync.go
+++ b/internal/site/routersync.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -22,17 +24,22 @@
 	epoch, revision, cache uint64
 }
 
-// fetchInitialTable calls all known control hosts concurrently, in rounds,
-// until one of them returns a routing table.
+// initialFanout is the number of control hosts that a router without a routing
+// table calls concurrently. Hundreds of routers may start at once.
+const initialFanout = 2
+
+// fetchInitialTable calls initialFanout of the known control hosts concurrently,
+// in rounds, until one of them returns a routing table. Each router begins with
+// another host.
 func (r *router) fetchInitialTable(ctx context.Context) {
 	ticker := time.NewTicker(primarySyncPeriod)
 	defer ticker.Stop()
-	for r.Table() == nil {
+	for first := rand.IntN(math.MaxInt32); r.Table() == nil; first += initialFanout {
 		r.mu.Lock()
 		targets := r.hosts.Targets(time.Now())
 		r.mu.Unlock()
 		var calls sync.WaitGroup
-		for _, host := range targets {
+		for _, host := range inTurn(targets, first, initialFanout) {
 			calls.Go(func() { r.syncWith(ctx, host, false, initialSyncTimeout) })
 		}
 		calls.Wait()
@@ -44,6 +51,17 @@
 	}
 }
 
+// inTurn returns count elements of the list from the position first on, which
+// wraps around; all of them if there are fewer.
+func inTurn(list []string, first, count int) []string {
+	count = min(count, len(list))
+	turn := make([]string, count)
+	for i := range turn {
+		turn[i] = list[(first+i)%len(list)]
+	}
+	return turn
+}
+
 // syncPrimary calls the primary and reports this router's load to it.
 func (r *router) syncPrimary(ctx context.Context) {
 	if host := r.choosePrimary(time.Now()); host != "" {
@@ -63,17 +81,23 @@
 		return r.primary
 	}
 	previous := r.primary
-	r.primary = nearest(alive, r.settings.Region)
+	r.primary = nearest(alive, r.settings.Region, r.settings.Zone)
 	if r.primary != previous {
 		event.PrimaryChanged.Log(r.log, event.Fields{"before": previous, "peer": r.primary, "alive": len(alive)})
 	}
 	return r.primary
 }
 
-// nearest returns the first host of the region, or else the first of all. All
-// routers of a region thus choose the same host, which lets them learn of each
-// other's load with the least delay.
-func nearest(alive []discovery.Host, region string) string {
+// nearest returns the first host of the availability zone, or else of the region,
+// or else of all. All routers of a zone thus choose the same host, which lets them
+// learn of each other's load with the least delay, and the load of all routers is
+// spread over the hosts.
+func nearest(alive []discovery.Host, region, zone string) string {
+	for _, h := range alive {
+		if h.Region == region && h.Zone == zone {
+			return h.Address
+		}
+	}
 	for _, h := range alive {
 		if h.Region == region {
 			return h.Address
@@ -97,26 +121,13 @@
 			return
 		}
 		turn++
-		r.syncWith(ctx, targets[turn%len(targets)], false, syncTimeout)
+		r.syncWith(ctx, inTurn(targets, turn, 1)[0], false, syncTimeout)
 	}
 }
 
 // syncWith calls one control host and applies its response.
 func (r *router) syncWith(ctx context.Context, host string, primary bool, timeout time.Duration) {
-	request := &wire.SyncRequest{Sender: r.self}
-	if primary {
-		now := time.Now()
-		loads, uses, cached := r.admission.OwnState(now)
-		request.Load, request.Cached = reportToWire(loads, uses, 1), cachedToWire(now, cached)
-		request.Crashers = crashersToWire(now, r.forwarder.RecentCrashers(now))
-	}
-	if table := r.Table(); table != nil {
-		request.RoutingVersion = table.Version()
-	}
-	r.mu.Lock()
-	cursor := r.cursors[host]
-	r.mu.Unlock()
-	request.DirectoryEpoch, request.DirectoryRevision, request.CacheRevision = cursor.epoch, cursor.revision, cursor.cache
+	request := r.syncRequest(time.Now(), host, primary)
 	response, err := peer.Exchange(ctx, r.dialer, host, timeout+lagTimeoutFactor*r.lag.value(), request)
 	if err != nil {
 		r.recordFailure(ctx, host, err)
@@ -126,6 +137,35 @@
 	r.applyResponse(time.Now(), host, response, primary)
 }
 
+// syncRequest returns the request for one control host. Only the primary gets this
+// router's state, and only the primary sends a newer routing table while it
+// answers.
+func (r *router) syncRequest(now time.Time, host string, primary bool) *wire.SyncRequest {
+	request := &wire.SyncRequest{Sender: r.self, RoutingVersion: r.RoutingVersion()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cursor := r.cursors[host]
+	request.DirectoryEpoch, request.DirectoryRevision, request.CacheRevision = cursor.epoch, cursor.revision, cursor.cache
+	if !primary {
+		request.OmitDocument = r.primaryBringsTable(now)
+		return request
+	}
+	loads, uses, cached := r.admission.OwnState(now)
+	request.Load, request.Cached = reportToWire(loads, uses, 1), cachedToWire(now, cached)
+	request.LoadSequence = r.sentLoads.add(request.GetLoad())
+	request.Crashers = crashersToWire(now, r.forwarder.RecentCrashers(now))
+	return request
+}
+
+// primaryBringsTable reports whether newer routing tables are expected from the
+// primary: it answers, and has not left out one that another control host named.
+// The caller holds r.mu.
+func (r *router) primaryBringsTable(now time.Time) bool {
+	answers := now.Sub(r.primaryAnsweredAt) < primarySilence
+	behind := r.newestVersion > r.RoutingVersion() && now.Sub(r.newerSince) >= primarySilence
+	return answers && !behind
+}
+
 // recordFailure records that a control host did not answer.
 func (r *router) recordFailure(ctx context.Context, host string, err error) {
 	if ctx.Err() != nil {
@@ -160,10 +200,19 @@
 		}
 	}
 	r.directory.RemoveExpired(now)
+	if inForce := r.RoutingVersion(); r.newestVersion <= inForce {
+		r.newerSince = now
+	}
+	r.newestVersion = max(r.newestVersion, response.GetRoutingVersion())
 	cursor := syncCursor{epoch: response.GetDirectoryEpoch(), revision: response.GetDirectoryRevision(), cache: r.cursors[host].cache}
+	var others routerLoad
+	var loadErr error
 	if primary {
 		cursor.cache = response.GetCacheRevision()
-		r.otherRouters = int(response.GetLoad().GetRouters())
+		r.primaryAnsweredAt = now
+		if others, loadErr = r.sentLoads.othersLoad(response); loadErr == nil {
+			r.otherRouters = others.routers
+		}
 	}
 	r.cursors[host] = cursor
 	// This is done under the lock so that an older state cannot overwrite a
@@ -177,9 +226,11 @@
 	r.mu.Unlock()
 
 	r.forwarder.MergeCrashers(now, crashersFromWire(now, response.GetCrashers()))
-	if primary {
-		loads, uses := reportFromWire(response.GetLoad())
-		r.admission.SetOtherRouters(now, loads, uses, cachedFromWire(now, response.GetCached()))
+	switch {
+	case loadErr != nil:
+		event.LoadUnreadable.Log(r.log, event.Fields{"peer": host, "error": loadErr.Error()})
+	case primary:
+		r.admission.SetOtherRouters(now, others.endpoints, others.accounts, cachedFromWire(now, response.GetCached()))
 		r.updateRetryBudget()
 	}
 }
