Find the changed prompt parts of an index without reading all of it

Cause: each call of each router read the whole index of cached prompt parts, up to 50,000 entries.

TestSinceAfterCompaction checks it against any order of changes.

--- a/internal/prefixes/prefixes.go
+++ b/internal/prefixes/prefixes.go
@@ -37,6 +37,16 @@
 type Index struct {
 	entries  map[entryKey]record
 	revision uint64
+	// changes holds the changes in ascending order of their revisions. A change
+	// whose entry has changed again or is gone stays in it until the next
+	// compaction.
+	changes []change
+}
+
+// change is one change of an entry.
+type change struct {
+	revision uint64
+	key      entryKey
 }
 
 type record struct {
@@ -67,9 +77,21 @@
 	}
 	x.revision++
 	x.entries[key] = record{used: e.Used, revision: x.revision, reported: reported}
+	x.changes = append(x.changes, change{revision: x.revision, key: key})
+	if len(x.changes) > 2*len(x.entries)+minCompaction {
+		x.compact()
+	}
 	return true
 }
 
+// minCompaction is the number of outdated changes that a small index keeps.
+const minCompaction = 1024
+
+// compact removes the outdated changes.
+func (x *Index) compact() {
+	x.changes = slices.DeleteFunc(x.changes, func(c change) bool { return x.entries[c.key].revision != c.revision })
+}
+
 // DeleteExpired removes the entries that were not used for entryTTL.
 func (x *Index) DeleteExpired(now time.Time) {
 	for key, r := range x.entries {
@@ -89,18 +111,16 @@
 // ReportedSince is like Since but omits entries from other indexes.
 func (x *Index) ReportedSince(revision uint64) []Entry { return x.since(revision, true) }
 
+// since reads only the changes after the revision, because each router asks
+// several times a second.
 func (x *Index) since(revision uint64, reported bool) []Entry {
-	if revision >= x.revision {
-		return nil
-	}
+	first, _ := slices.BinarySearchFunc(x.changes, revision+1, func(c change, revision uint64) int { return cmp.Compare(c.revision, revision) })
 	var list []Entry
-	for key, r := range x.entries {
-		if r.revision > revision && (r.reported || !reported) {
-			list = append(list, Entry{Key: key.key, Endpoint: key.endpoint, Used: r.used})
+	for _, c := range x.changes[first:] {
+		r := x.entries[c.key]
+		if r.revision == c.revision && (r.reported || !reported) {
+			list = append(list, Entry{Key: c.key.key, Endpoint: c.key.endpoint, Used: r.used})
 		}
 	}
-	slices.SortFunc(list, func(a, b Entry) int {
-		return cmp.Compare(x.entries[entryKey{a.Key, a.Endpoint}].revision, x.entries[entryKey{b.Key, b.Endpoint}].revision)
-	})
 	return list
 }
--- a/internal/prefixes/prefixes_test.go
+++ b/internal/prefixes/prefixes_test.go
@@ -1,6 +1,7 @@
 package prefixes_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -54,3 +55,41 @@
 	c.Check(x.Since(0), qt.DeepEquals, []prefixes.Entry{reported, merged})
 	c.Check(x.ReportedSince(0), qt.DeepEquals, []prefixes.Entry{reported})
 }
+
+// TestSinceAfterCompaction checks that Since returns each entry once, in the order
+// of the last changes, however often entries changed and whatever was compacted.
+func TestSinceAfterCompaction(t *testing.T) {
+	c := qt.New(t)
+	x := prefixes.New()
+	const rounds, keys = 50, 100
+	for round := range rounds {
+		now := at(3 * round)
+		for key := range uint64(keys) {
+			x.Report(now, prefixes.Entry{Key: key, Endpoint: "a", Used: now})
+		}
+		x.DeleteExpired(now)
+		all := x.Since(0)
+		c.Assert(all, qt.HasLen, keys)
+		for key, e := range all {
+			c.Assert(e, qt.Equals, prefixes.Entry{Key: uint64(key), Endpoint: "a", Used: now})
+		}
+		c.Assert(x.Since(x.Revision()-3), qt.DeepEquals, all[keys-3:])
+		c.Assert(x.Since(x.Revision()), qt.HasLen, 0)
+	}
+}
+
+// BenchmarkSince measures one call of a router that lacks few entries of a large
+// index.
+func BenchmarkSince(b *testing.B) {
+	for _, entries := range []int{1000, 50_000} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			x := prefixes.New()
+			for key := range uint64(entries) {
+				x.Report(start, prefixes.Entry{Key: key, Endpoint: "a", Used: start})
+			}
+			for b.Loop() {
+				x.Since(x.Revision() - 10)
+			}
+		})
+	}
+}
