Count shares and silence by elapsed time

Cause: the buckets of the shares' window were counted by the time of day. A jump back froze the window: what accounts had used stayed in it until the clock caught up, and they were refused as beyond their share. A jump ahead emptied it. The time since a control host last answered, and the ages of saved endpoints, followed the time of day too. Ruled out: leases, heartbeats, elections and Retry-After, which use the steady clock; the log's rate limit, which takes any other second as new.

Change: elapsed time from a first reading.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -27,7 +27,10 @@
 // at this router and at the others. It is not safe for concurrent use.
 type Ledger struct {
 	window time.Duration
-	own    map[string]*history
+	// startedAt is the first time that was recorded, from which buckets are
+	// counted: the time of day may jump, elapsed time does not.
+	startedAt time.Time
+	own       map[string]*history
 	others map[string]Use
 	// totals holds the use of each account at all routers as of totalsAt. level
 	// is the fair level computed from it for levelCapacity.
@@ -46,7 +49,7 @@
 // window.
 type history struct {
 	asked, admitted [buckets]float64
-	// last is the number of the newest bucket, counted from the Unix epoch.
+	// last is the number of the newest bucket.
 	last int64
 }
 
@@ -56,7 +59,10 @@
 }
 
 func (l *Ledger) bucket(now time.Time) int64 {
-	return now.UnixNano() / int64(l.window/buckets)
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
+	return int64(now.Sub(l.startedAt) / (l.window / buckets))
 }
 
 // advance empties the buckets that have left the window.
--- a/internal/site/endpointsfile.go
+++ b/internal/site/endpointsfile.go
@@ -76,10 +76,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("read saved endpoints: %w", err)
 	}
-	savedAt := time.UnixMilli(saved.GetSavedUnixMs())
-	if age := now.Sub(savedAt); age < 0 || age >= savedEndpointTTL {
+	age := now.Sub(time.UnixMilli(saved.GetSavedUnixMs()))
+	if age < 0 || age >= savedEndpointTTL {
 		return nil, nil
 	}
+	// Ages count from the present time, which does not follow the time of day if
+	// that jumps later.
+	savedAt := now.Add(-age)
 	var entries []directory.Entry
 	for _, e := range saved.GetEndpoints() {
 		entry := entryFromWire(savedAt, e)
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -78,6 +78,7 @@
 	adapter   Adapter
 	log       log.Interface
 	self      *wire.Process
+	started   time.Time
 	dialer    *peer.Dialer
 	admission *edge.AdmissionController
 	client    *endpoint.Client
@@ -86,9 +87,8 @@
 	conns    *connections
 	draining atomic.Bool
 	table    atomic.Pointer[routing.Table]
-	// lastSync is when a control host last answered, in nanoseconds of Unix
-	// time.
-	lastSync atomic.Int64
+	// lastSync is when a control host last answered; nil before that.
+	lastSync atomic.Pointer[time.Time]
 	lag      lagMeter
 	stop     context.CancelFunc
 	done     sync.WaitGroup
@@ -142,7 +142,7 @@
 func newRouter(d *Daemon) *router {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{
-		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, dialer: d.dialer, stop: cancel,
+		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, started: time.Now(), dialer: d.dialer, stop: cancel,
 		admission: edge.NewAdmissionController(d.settings.Region, d.settings.ShareWindow()),
 		hosts:     discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
 		cursors: make(map[string]syncCursor), primaryFailures: make(map[string]time.Time), sentLoads: newSentLoads(),
@@ -221,8 +221,14 @@
 // because the limit was reached.
 func (r *router) RefusedConnections() int64 { return r.conns.rejected.Load() }
 
-// Unsynced returns the time since a control host last answered.
-func (r *router) Unsynced() time.Duration { return time.Since(time.Unix(0, r.lastSync.Load())) }
+// Unsynced returns the time since a control host last answered, or since the
+// router started.
+func (r *router) Unsynced() time.Duration {
+	if last := r.lastSync.Load(); last != nil {
+		return time.Since(*last)
+	}
+	return time.Since(r.started)
+}
 
 func (r *router) drain() {
 	r.draining.Store(true)
--- a/internal/site/routersync.go
+++ b/internal/site/routersync.go
@@ -133,8 +133,9 @@
 		r.recordFailure(ctx, host, err)
 		return
 	}
-	r.lastSync.Store(time.Now().UnixNano())
-	r.applyResponse(time.Now(), host, response, primary)
+	now := time.Now()
+	r.lastSync.Store(&now)
+	r.applyResponse(now, host, response, primary)
 }
 
 // syncRequest returns the request for one control host. Only the primary gets this
