Compare a request's endpoints in an order of its own, 24 at a time

Cause: every router compared all endpoints and took the best in reports that are hundreds of milliseconds old; of equally good ones all took the first by ID.

Change: 24 endpoints at a time, 16 of them of the region, in the order that rendezvous hashing gives the prompt's shared parts; the next ones only if none of these has capacity. Requests with the same parts meet at any router.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -8,6 +8,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/prefixes"
 	"oleanderramp/pkg/routing"
@@ -113,6 +115,8 @@
 	SpareOnly bool
 	// Excluded lists the IDs of endpoints that must not be chosen.
 	Excluded []string
+	// Seed spreads demands without prompt parts over the endpoints.
+	Seed uint64
 }
 
 // Load is the work in progress at an endpoint.
@@ -190,7 +194,10 @@
 // endpoint is the state kept for one endpoint.
 type endpoint struct {
 	entry directory.Entry
-	own   Load
+	// hash is the hash of the ID. score is the endpoint's place in the order of
+	// preference that is being computed.
+	hash, score uint64
+	own         Load
 	// others is the load of the other routers, as of othersAt.
 	others   Load
 	othersAt time.Time
@@ -222,7 +229,7 @@
 	for _, entry := range entries {
 		e, ok := previous[entry.ID]
 		if !ok || !e.entry.Started.Equal(entry.Started) {
-			e = &endpoint{rate: initialRate, cache: make(cache)}
+			e = &endpoint{hash: xxhash.Sum64String(entry.ID), rate: initialRate, cache: make(cache)}
 		}
 		e.entry = entry
 		b.endpoints[entry.ID] = e
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,28 +1,95 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
+)
 
-	"github.com/cespare/xxhash/v2"
+// maxCandidates is the number of endpoints among which a request's endpoint is
+// chosen, and nearCandidates the number of those that are of the router's region.
+// Routers learn of each other's requests late: if all of them compared all
+// endpoints, they would send their requests to the same one.
+const (
+	maxCandidates  = 24
+	nearCandidates = 16
 )
 
 // Choose returns the endpoint with the lowest cost for the demand: the predicted
 // response time plus penalties. It reserves nothing; Begin does.
+//
+// Only maxCandidates endpoints are compared at a time, in the order of preference
+// for the demand, and the next ones only if none of them has capacity.
 func (b *Balancer) Choose(now time.Time, d Demand) Choice {
 	s := b.services[d.Service]
 	if s == nil {
 		return Choice{Reason: NoEndpoint}
 	}
-	best, bestCost := Choice{Reason: NoEndpoint}, math.Inf(1)
 	chain := prefixChain(d.Prompt.Parts)
-	holders := s.findCacheHolders(now, b.region, chain)
-	preferred := s.preferredEndpoint(now, b.region, chain)
-	for i, e := range s.endpoints {
-		if e.down(now) || slices.Contains(d.Excluded, e.entry.ID) {
-			continue
+	candidates := s.order(b.region, preferenceKey(d, chain))
+	candidates = slices.DeleteFunc(candidates, func(e *endpoint) bool {
+		return e.down(now) || slices.Contains(d.Excluded, e.entry.ID)
+	})
+	best := Choice{Reason: NoEndpoint}
+	for group := range slices.Chunk(candidates, maxCandidates) {
+		if best = b.chooseAmong(now, s, group, d, chain); best.Reason == "" {
+			break
+		}
+	}
+	return best
+}
+
+// preferenceKey returns the key of the demand's order of preference. Demands that
+// share a prompt prefix have the same order at all routers, so that they meet where
+// the prefix is cached.
+func preferenceKey(d Demand, chain []link) uint64 {
+	switch {
+	case len(chain) >= 2:
+		return chain[len(chain)-2].key
+	case len(chain) == 1:
+		return chain[0].key
+	default:
+		return d.Seed
+	}
+}
+
+// order returns the endpoints of the service in the order of preference for the
+// key, by rendezvous hashing. Of each maxCandidates endpoints, nearCandidates are
+// of the region, as long as there are that many. A service with few endpoints keeps
+// its order, as all of them are compared.
+func (s *service) order(region string, key uint64) []*endpoint {
+	if len(s.endpoints) <= maxCandidates {
+		return slices.Clone(s.endpoints)
+	}
+	var near, far []*endpoint
+	for _, e := range s.endpoints {
+		e.score = mixHash(e.hash ^ key)
+		if e.entry.Region == region {
+			near = append(near, e)
+		} else {
+			far = append(far, e)
 		}
+	}
+	byScore := func(a, b *endpoint) int { return cmp.Compare(b.score, a.score) }
+	slices.SortFunc(near, byScore)
+	slices.SortFunc(far, byScore)
+	ordered := make([]*endpoint, 0, len(s.endpoints))
+	for len(near)+len(far) > 0 {
+		ofNear := min(len(near), max(nearCandidates, maxCandidates-len(far)))
+		ofFar := min(len(far), maxCandidates-ofNear)
+		ordered = append(append(ordered, near[:ofNear]...), far[:ofFar]...)
+		near, far = near[ofNear:], far[ofFar:]
+	}
+	return ordered
+}
+
+// chooseAmong returns the best of the candidates.
+func (b *Balancer) chooseAmong(now time.Time, s *service, candidates []*endpoint, d Demand, chain []link) Choice {
+	best, bestCost := Choice{Reason: Busy}, math.Inf(1)
+	holders := s.findCacheHolders(now, b.region, candidates, chain)
+	preferred := s.preferredEndpoint(b.region, candidates, chain)
+	for i, e := range candidates {
 		load := e.load(now)
 		source, cachedTokens := holders.source(i)
 		uncached := max(d.Prompt.Tokens-cachedTokens, 0)
@@ -32,9 +99,6 @@
 			predicted += crossRegionRTTMS
 		}
 		if !s.fits(e, load, d) || !s.inTime(e, load, d, predicted, idlePredicted) {
-			if best.Reason == NoEndpoint {
-				best.Reason = Busy
-			}
 			continue
 		}
 		cost := predicted + e.failures*failurePenaltyMS
@@ -58,22 +122,22 @@
 	return best
 }
 
-// preferredEndpoint returns the endpoint of the region that is preferred for
+// preferredEndpoint returns the candidate of the region that is preferred for
 // requests with the same shared parts while no endpoint is known to have read
 // them. It uses rendezvous hashing, so that all routers of the region prefer the
 // same endpoint. It returns nil when the prompt has no shared parts.
-func (s *service) preferredEndpoint(now time.Time, region string, chain []link) *endpoint {
+func (s *service) preferredEndpoint(region string, candidates []*endpoint, chain []link) *endpoint {
 	if s.engine == nil || len(chain) < 2 {
 		return nil
 	}
 	key := chain[len(chain)-2].key
 	var preferred *endpoint
 	var highest uint64
-	for _, e := range s.endpoints {
-		if e.entry.Region != region || e.down(now) {
+	for _, e := range candidates {
+		if e.entry.Region != region {
 			continue
 		}
-		if score := mixHash(xxhash.Sum64String(e.entry.ID) ^ key); preferred == nil || score > highest {
+		if score := mixHash(e.hash ^ key); preferred == nil || score > highest {
 			preferred, highest = e, score
 		}
 	}
@@ -136,8 +200,7 @@
 	return predicted+events*e.eventIntervalMS <= milliseconds(d.MaxTotalTime)
 }
 
-// cacheHolders records how much of a prompt each endpoint of a service has
-// cached.
+// cacheHolders records how much of a prompt each of the candidates has cached.
 type cacheHolders struct {
 	endpoints []*endpoint
 	// cachedTokens holds the cached tokens of each endpoint, by its index.
@@ -147,19 +210,19 @@
 	best, second int
 }
 
-// findCacheHolders finds the endpoints that have cached parts of the prompt. Of
+// findCacheHolders finds the candidates that have cached parts of the prompt. Of
 // those that hold equally much, it prefers endpoints of the region.
-func (s *service) findCacheHolders(now time.Time, region string, chain []link) cacheHolders {
-	h := cacheHolders{endpoints: s.endpoints, cachedTokens: make([]int, len(s.endpoints)), best: -1, second: -1}
+func (s *service) findCacheHolders(now time.Time, region string, candidates []*endpoint, chain []link) cacheHolders {
+	h := cacheHolders{endpoints: candidates, cachedTokens: make([]int, len(candidates)), best: -1, second: -1}
 	if s.engine == nil || len(chain) < 2 {
 		return h
 	}
-	for i, e := range s.endpoints {
+	for i, e := range candidates {
 		if _, known := e.cache[chain[0].key]; !known {
 			continue
 		}
 		h.cachedTokens[i] = e.cache.expectedTokens(now, chain, s.cacheLifetime(e.load(now)))
-		if h.cachedTokens[i] == 0 || s.engine.FetchRate == 0 || e.down(now) {
+		if h.cachedTokens[i] == 0 || s.engine.FetchRate == 0 {
 			continue
 		}
 		switch {
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -49,7 +49,7 @@
 	now := time.Now()
 	prompt := t.request.Prompt
 	wanted := placementRequest{
-		demand:    balance.Demand{Service: t.service, Prompt: prompt, Excluded: t.excluded},
+		demand:    balance.Demand{Service: t.service, Prompt: prompt, Excluded: t.excluded, Seed: requestHash(t.request.ID)},
 		account:   t.account,
 		objective: t.objective.Sub(now), timeLeft: t.deadline.Sub(now), isRetry: isRetry, tokens: t.tokens(),
 	}
