Send routers what their region needs, and return to the nearest control host

Change: a region that has enough endpoints of a service gets the loads of the others every 500 ms only, and none of their renewals and cached parts. The primary returns to a nearer host that has been alive for 2 s. Zones whose region has no control host spread over the others. Each has a test; TestPrimaryReturnsToNearest Host and TestZonesSpreadOverFarHosts have no counterpart in the old code.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -258,10 +258,13 @@
 	}
 }
 
-// SetOtherLoads replaces the load of the other routers, by endpoint ID.
-func (b *Balancer) SetOtherLoads(now time.Time, loads map[string]Load) {
+// SetOtherLoads replaces the load of the other routers, by endpoint ID. If only is
+// not nil, the loads of all other endpoints stay as they are.
+func (b *Balancer) SetOtherLoads(now time.Time, loads map[string]Load, only map[string]bool) {
 	for id, e := range b.endpoints {
-		e.others, e.othersAt = loads[id], now
+		if only == nil || only[id] {
+			e.others, e.othersAt = loads[id], now
+		}
 	}
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -79,7 +79,7 @@
 func TestOtherRoutersLoadCounts(t *testing.T) {
 	c := qt.New(t)
 	b := engines(c, 3)
-	b.SetOtherLoads(start, map[string]balance.Load{"engines-0": {Running: 1, Prefill: 20_000}})
+	b.SetOtherLoads(start, map[string]balance.Load{"engines-0": {Running: 1, Prefill: 20_000}}, nil)
 	c.Check(b.Choose(start, newDemand(prompt(4000, ""))).Endpoint.ID, qt.Equals, "engines-1")
 	// The reported load expires after 2 s.
 	c.Check(b.Choose(at(2), newDemand(prompt(4000, ""))).Endpoint.ID, qt.Equals, "engines-0")
@@ -109,7 +109,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			b := engines(c, 1)
-			b.SetOtherLoads(start, map[string]balance.Load{"engines-0": test.others})
+			b.SetOtherLoads(start, map[string]balance.Load{"engines-0": test.others}, nil)
 			c.Check(b.Choose(start, test.demand).Reason, qt.Equals, test.want)
 		})
 	}
@@ -168,7 +168,7 @@
 	c.Check(choice.Source.ID, qt.Equals, "")
 
 	// When that endpoint is busy, another one fetches the parts from it.
-	b.SetOtherLoads(start, map[string]balance.Load{"engines-2": {Running: 2, Prefill: 10_000}})
+	b.SetOtherLoads(start, map[string]balance.Load{"engines-2": {Running: 2, Prefill: 10_000}}, nil)
 	choice = b.Choose(start, d)
 	c.Check(choice.Endpoint.ID, qt.Not(qt.Equals), "engines-2")
 	c.Check(choice.Source.ID, qt.Equals, "engines-2")
@@ -192,15 +192,15 @@
 	cachePrompt(b, d, "engines-1")
 	busy := map[string]balance.Load{"engines-1": {Running: 3, Memory: 60_000}, "engines-2": {Running: 4, Memory: 60_000}}
 	b.AddCached(at(1), []prefixes.Entry{{Key: b.TakeNewlyCached()[0].Key, Endpoint: "engines-2", Used: at(1)}})
-	b.SetOtherLoads(at(1), busy)
+	b.SetOtherLoads(at(1), busy, nil)
 	choice := b.Choose(at(1), d)
 	c.Check(choice.Source.ID, qt.Equals, "engines-2")
 	c.Check(choice.Uncached, qt.Equals, 2000)
 	// Idle engines keep cached parts, busy ones evict them.
-	b.SetOtherLoads(at(4), nil)
+	b.SetOtherLoads(at(4), nil, nil)
 	idle := b.Choose(at(4), d).Uncached
 	c.Check(idle < 3000, qt.IsTrue, qt.Commentf("%d", idle))
-	b.SetOtherLoads(at(4), busy)
+	b.SetOtherLoads(at(4), busy, nil)
 	c.Check(b.Choose(at(4), d).Uncached, qt.Equals, 8000)
 }
 
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -1,21 +1,11 @@
 package balance
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
 )
 
-// maxCandidates is the number of endpoints among which a request's endpoint is
-// chosen, and nearCandidates the number of those that are of the router's region.
-// Routers learn of each other's requests late: if all of them compared all
-// endpoints, they would send their requests to the same one.
-const (
-	maxCandidates  = 24
-	nearCandidates = 16
-)
-
 // Choose returns the endpoint with the lowest cost for the demand: the predicted
 // response time plus penalties. It reserves nothing; Begin does.
 //
@@ -54,36 +44,6 @@
 	}
 }
 
-// order returns the endpoints of the service in the order of preference for the
-// key, by rendezvous hashing. Of each maxCandidates endpoints, nearCandidates are
-// of the region, as long as there are that many. A service with few endpoints keeps
-// its order, as all of them are compared.
-func (s *service) order(region string, key uint64) []*endpoint {
-	if len(s.endpoints) <= maxCandidates {
-		return slices.Clone(s.endpoints)
-	}
-	var near, far []*endpoint
-	for _, e := range s.endpoints {
-		e.score = mixHash(e.hash ^ key)
-		if e.entry.Region == region {
-			near = append(near, e)
-		} else {
-			far = append(far, e)
-		}
-	}
-	byScore := func(a, b *endpoint) int { return cmp.Compare(b.score, a.score) }
-	slices.SortFunc(near, byScore)
-	slices.SortFunc(far, byScore)
-	ordered := make([]*endpoint, 0, len(s.endpoints))
-	for len(near)+len(far) > 0 {
-		ofNear := min(len(near), max(nearCandidates, maxCandidates-len(far)))
-		ofFar := min(len(far), maxCandidates-ofNear)
-		ordered = append(append(ordered, near[:ofNear]...), far[:ofFar]...)
-		near, far = near[ofNear:], far[ofFar:]
-	}
-	return ordered
-}
-
 // chooseAmong returns the best of the candidates.
 func (b *Balancer) chooseAmong(now time.Time, s *service, candidates []*endpoint, d Demand, chain []link) Choice {
 	best, bestCost := Choice{Reason: Busy}, math.Inf(1)
--- a/internal/balance/herd_test.go
+++ b/internal/balance/herd_test.go
@@ -179,7 +179,7 @@
 		for id, l := range old.total {
 			others[id] = l.Subtract(old.loads[i][id])
 		}
-		b.SetOtherLoads(m.now, others)
+		b.SetOtherLoads(m.now, others, nil)
 		b.AddCached(m.now, cached)
 	}
 	m.after(m.reportPeriod, m.renew)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -201,9 +201,19 @@
 // Since returns the entries of the scope that were updated after the revision,
 // sorted by ID.
 func (d *Directory) Since(revision uint64, scope Scope) []Entry {
+	return d.SinceOf(revision, scope, nil)
+}
+
+// SinceOf is like Since, but of the endpoints that are not in ids it returns
+// changes alone, without renewals. A nil map stands for all endpoints.
+func (d *Directory) SinceOf(revision uint64, scope Scope, ids map[string]bool) []Entry {
 	var list []Entry
-	for _, r := range d.entries {
-		if scope.includes(r, revision) {
+	for id, r := range d.entries {
+		of := scope
+		if ids != nil && !ids[id] {
+			of = Changes
+		}
+		if of.includes(r, revision) {
 			list = append(list, r.Entry)
 		}
 	}
--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -125,12 +125,13 @@
 }
 
 // SetOtherRouters replaces the loads and the use of shares of the other
-// routers, and adds the prompt parts that endpoints have read for them.
-func (c *AdmissionController) SetOtherRouters(now time.Time, loads map[string]balance.Load, uses []share.Use, cached []prefixes.Entry) {
+// routers, and adds the prompt parts that endpoints have read for them. If only is
+// not nil, the loads of all other endpoints stay as they are.
+func (c *AdmissionController) SetOtherRouters(now time.Time, loads map[string]balance.Load, only map[string]bool, uses []share.Use, cached []prefixes.Entry) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.balancer.AddCached(now, cached)
-	c.balancer.SetOtherLoads(now, loads)
+	c.balancer.SetOtherLoads(now, loads, only)
 	c.ledger.SetOtherUse(uses)
 	c.placeWaiting(now)
 }
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -31,7 +31,7 @@
 	// counted: the time of day may jump, elapsed time does not.
 	startedAt time.Time
 	own       map[string]*history
-	others map[string]Use
+	others    map[string]Use
 	// totals holds the use of each account at all routers as of totalsAt. level
 	// is the fair level computed from it for levelCapacity.
 	totals        map[string]Use
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -76,6 +76,8 @@
 	inFlight map[string]bool
 	// loads holds the load that routers and control hosts report.
 	loads *loadSums
+	// firstChoices holds the endpoints that routers choose first, by region.
+	firstChoices map[string]regionEndpoints
 }
 
 func newControl(d *Daemon) (*control, error) {
@@ -85,7 +87,7 @@
 		store: state.NewStore(state.Limits{}), replicator: peer.NewReplicator(d.dialer), failed: make(chan error, 1), quorumLog: stateserver.NewQuorumLogger(d.log),
 		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
 		cursors: make(map[string]syncCursor), inFlight: make(map[string]bool), cached: prefixes.New(),
-		loads: newLoadSums(),
+		loads: newLoadSums(), firstChoices: make(map[string]regionEndpoints),
 	}
 	if err := c.startReplica(); err != nil {
 		return nil, errors.Join(err, c.replicator.Close())
--- a/internal/site/exchange.go
+++ b/internal/site/exchange.go
@@ -7,11 +7,13 @@
 
 	"github.com/apex/log"
 
+	"oleanderramp/internal/balance"
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/discovery"
 	"oleanderramp/internal/edge"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/peer"
+	"oleanderramp/internal/prefixes"
 	"oleanderramp/internal/wire"
 )
 
@@ -52,7 +54,8 @@
 	if request.GetLoadSequence() == 0 {
 		response.Load = c.loads.others(now, router)
 	} else {
-		response.TotalLoad, response.LoadSequence = c.loads.all(now, router)
+		total := c.loads.totalFor(now, router, request.GetRegion(), c.firstChoice(now, request.GetRegion()))
+		response.TotalLoad, response.LoadSequence, response.LoadPartial = total.encoded, total.sequence, total.partial
 	}
 	return response
 }
@@ -90,10 +93,41 @@
 	case request.GetLoad() == nil:
 		scope = directory.Changes
 	}
-	response.Endpoints = entriesToWire(now, c.directory.Since(since, scope))
-	if request.GetLoad() != nil {
-		response.CacheRevision, response.Cached = c.cached.Revision(), cachedToWire(now, cached(cachedSince))
+	var ids map[string]bool
+	if request.GetControl() == nil && request.GetRegion() != "" {
+		ids = c.firstChoice(now, request.GetRegion())
 	}
+	response.Endpoints = entriesToWire(now, c.directory.SinceOf(since, scope, ids))
+	if request.GetLoad() == nil {
+		return
+	}
+	parts := cached(cachedSince)
+	if ids != nil {
+		parts = slices.DeleteFunc(parts, func(e prefixes.Entry) bool { return !ids[e.Endpoint] })
+	}
+	response.CacheRevision, response.Cached = c.cached.Revision(), cachedToWire(now, parts)
+}
+
+// firstChoicePeriod is how long the endpoints that a region's routers choose first
+// are reused.
+const firstChoicePeriod = time.Second
+
+// regionEndpoints are the endpoints that a region's routers choose first, as of
+// a time.
+type regionEndpoints struct {
+	ids map[string]bool
+	at  time.Time
+}
+
+// firstChoice returns the endpoints that routers of the region choose first. The
+// caller holds c.mu.
+func (c *control) firstChoice(now time.Time, region string) map[string]bool {
+	known, ok := c.firstChoices[region]
+	if !ok || now.Sub(known.at) >= firstChoicePeriod {
+		known = regionEndpoints{ids: balance.FirstChoice(c.directory.Usable(), region), at: now}
+		c.firstChoices[region] = known
+	}
+	return known.ids
 }
 
 // addRouting adds the version of the routing table in force, and the table
--- a/internal/site/loadsum.go
+++ b/internal/site/loadsum.go
@@ -14,6 +14,9 @@
 	// peerLoadTTL is the same for the load that another control host reports
 	// for its routers.
 	peerLoadTTL = 2 * time.Second
+	// fullLoadPeriod is how often a router gets the loads of all endpoints, and not
+	// only of those that it chooses first.
+	fullLoadPeriod = 500 * time.Millisecond
 	// sumIntervalPerRouter is the minimum interval between two sums of all
 	// loads, for each router that reports here. A sum takes time in proportion
 	// to the routers, so that this bounds the fraction of the processor that
@@ -30,9 +33,12 @@
 	routers map[string]timedLoad
 	peers   map[string]timedLoad
 
-	// total is the encoded sum of all reports as of totalAt.
-	total   []byte
+	// total is the sum of all reports as of totalAt, and encoded its encoded
+	// forms, by region: that of "" has all endpoints, the others those that routers
+	// of the region choose first.
+	total   *wire.LoadReport
 	totalAt time.Time
+	encoded map[string][]byte
 	// included is the sequence number of each router's report in total.
 	included map[string]uint64
 }
@@ -43,6 +49,8 @@
 	load     *wire.LoadReport
 	at       time.Time
 	sequence uint64
+	// fullAt is when the router last got the loads of all endpoints.
+	fullAt time.Time
 }
 
 func newLoadSums() *loadSums {
@@ -51,7 +59,7 @@
 
 // reportRouter records the report of a router.
 func (s *loadSums) reportRouter(now time.Time, router string, load *wire.LoadReport, sequence uint64) {
-	s.routers[router] = timedLoad{load: load, at: now, sequence: sequence}
+	s.routers[router] = timedLoad{load: load, at: now, sequence: sequence, fullAt: s.routers[router].fullAt}
 }
 
 // reportPeer records the sum that another control host reports for its routers.
@@ -76,21 +84,59 @@
 	return sumReports(s.reports(now, router))
 }
 
-// all returns the encoded sum of all routers, and the sequence number of the
-// router's report in it. The sum may be as old as sumIntervalPerRouter for each
-// router that reports here.
-func (s *loadSums) all(now time.Time, router string) ([]byte, uint64) {
+// totalLoad is the sum of all routers as a router gets it.
+type totalLoad struct {
+	encoded []byte
+	// sequence is the number of the router's report in the sum.
+	sequence uint64
+	// partial reports whether only the endpoints of first are in the sum.
+	partial bool
+}
+
+// totalFor returns the sum of all routers for one of them, of the region; first
+// holds the endpoints that routers of the region choose first. Every
+// fullLoadPeriod, and if the region is "", it has all endpoints. The sum may be as
+// old as sumIntervalPerRouter for each router that reports here.
+func (s *loadSums) totalFor(now time.Time, router, region string, first map[string]bool) totalLoad {
 	interval := time.Duration(len(s.routers)) * sumIntervalPerRouter
 	if s.total == nil || now.Sub(s.totalAt) >= interval {
-		s.removeExpired(now)
-		s.total, _ = proto.Marshal(sumReports(s.reports(now, ""))) // A message of numbers and valid strings can always be encoded.
-		s.totalAt = now
-		s.included = make(map[string]uint64, len(s.routers))
-		for name, r := range s.routers {
-			s.included[name] = r.sequence
+		s.sumAll(now)
+	}
+	reported := s.routers[router]
+	if region == "" || now.Sub(reported.fullAt) >= fullLoadPeriod {
+		reported.fullAt = now
+		s.routers[router] = reported
+		return totalLoad{encoded: s.encode("", nil), sequence: s.included[router]}
+	}
+	return totalLoad{encoded: s.encode(region, first), sequence: s.included[router], partial: true}
+}
+
+// sumAll computes the sum of all routers.
+func (s *loadSums) sumAll(now time.Time) {
+	s.removeExpired(now)
+	s.total, s.totalAt = sumReports(s.reports(now, "")), now
+	s.encoded = make(map[string][]byte)
+	s.included = make(map[string]uint64, len(s.routers))
+	for name, r := range s.routers {
+		s.included[name] = r.sequence
+	}
+}
+
+// encode returns the sum encoded for the region, with the endpoints in first, or
+// with all if first is nil.
+func (s *loadSums) encode(region string, first map[string]bool) []byte {
+	if encoded, ok := s.encoded[region]; ok {
+		return encoded
+	}
+	report := &wire.LoadReport{Routers: s.total.GetRouters(), Accounts: s.total.GetAccounts()}
+	for _, e := range s.total.GetEndpoints() {
+		if first == nil || first[e.GetId()] {
+			report.Endpoints = append(report.Endpoints, e)
 		}
 	}
-	return s.total, s.included[router]
+	encoded, _ := proto.Marshal(report) // A message of numbers and valid strings can always be encoded.
+	s.encoded[region] = encoded
+	return encoded
 }
 
 // reports returns the reports that count, without that of one router.
--- a/internal/site/loadsum_test.go
+++ b/internal/site/loadsum_test.go
@@ -45,8 +45,8 @@
 			}
 			// The sum is computed anew for the check, whatever its age.
 			sums.total = nil
-			total, sequence := sums.all(now, name)
-			got, err := sent[i].othersLoad(&wire.SyncResponse{TotalLoad: total, LoadSequence: sequence})
+			total := sums.totalFor(now, name, "", nil)
+			got, err := sent[i].othersLoad(&wire.SyncResponse{TotalLoad: total.encoded, LoadSequence: total.sequence})
 			want := routerLoadFromWire(sums.others(now, name))
 			if err != nil || got.routers != want.routers || sum(got.accounts) != sum(want.accounts) {
 				t.Fatalf("got %+v, want %+v, error %v", got, want, err)
@@ -78,22 +78,47 @@
 	for i := range routers {
 		sums.reportRouter(loadStart, fmt.Sprint("router-", i), reportOf("e", 1, "a", 10), 1)
 	}
-	first, sequence := sums.all(loadStart, "router-0")
-	c.Check(sequence, qt.Equals, uint64(1))
+	first := sums.totalFor(loadStart, "router-0", "", nil)
+	c.Check(first.sequence, qt.Equals, uint64(1))
 	// A report within the interval appears in the next sum, and the router learns
 	// which of its reports the present one includes.
 	sums.reportRouter(loadStart, "router-0", reportOf("e", 9, "a", 10), 2)
-	second, sequence := sums.all(loadStart.Add(routers*sumIntervalPerRouter-1), "router-0")
-	c.Check(&second[0], qt.Equals, &first[0])
-	c.Check(sequence, qt.Equals, uint64(1))
-	third, sequence := sums.all(loadStart.Add(routers*sumIntervalPerRouter), "router-0")
-	c.Check(sequence, qt.Equals, uint64(2))
+	second := sums.totalFor(loadStart.Add(routers*sumIntervalPerRouter-1), "router-0", "", nil)
+	c.Check(&second.encoded[0], qt.Equals, &first.encoded[0])
+	c.Check(second.sequence, qt.Equals, uint64(1))
+	third := sums.totalFor(loadStart.Add(routers*sumIntervalPerRouter), "router-0", "", nil)
+	c.Check(third.sequence, qt.Equals, uint64(2))
 	total := &wire.LoadReport{}
-	c.Assert(proto.Unmarshal(third, total), qt.IsNil)
+	c.Assert(proto.Unmarshal(third.encoded, total), qt.IsNil)
 	c.Check(total.GetRouters(), qt.Equals, uint32(routers))
 	c.Check(total.GetEndpoints()[0].GetRunning(), qt.Equals, uint32(routers+8))
 }
 
+// TestFarLoadsComeLessOften checks that a router gets the loads of the endpoints
+// that it chooses first with each sum, and those of all endpoints every
+// fullLoadPeriod.
+func TestFarLoadsComeLessOften(t *testing.T) {
+	c := qt.New(t)
+	sums, first := newLoadSums(), map[string]bool{"near": true}
+	got := make(map[bool]int)
+	for step := range 20 {
+		now := loadStart.Add(time.Duration(step) * 100 * time.Millisecond)
+		sums.reportRouter(now, "router-1", reportOf("near", 1, "a", 10), 1)
+		sums.reportRouter(now, "router-2", reportOf("far", 1, "a", 10), 1)
+		total := sums.totalFor(now, "router-1", "region", first)
+		report := &wire.LoadReport{}
+		c.Assert(proto.Unmarshal(total.encoded, report), qt.IsNil)
+		want := 2
+		if total.partial {
+			want = 1
+		}
+		c.Assert(report.GetEndpoints(), qt.HasLen, want)
+		c.Assert(report.GetRouters(), qt.Equals, uint32(2))
+		got[total.partial]++
+	}
+	c.Check(got, qt.DeepEquals, map[bool]int{true: 16, false: 4})
+}
+
 // TestSilentRoutersExpire checks that routers and control hosts that have stopped
 // reporting do not count.
 func TestSilentRoutersExpire(t *testing.T) {
@@ -137,7 +162,7 @@
 				// Each router calls ten times a second.
 				now = now.Add(100 * time.Millisecond / time.Duration(routers))
 				sums.reportRouter(now, "router-0", report, 1)
-				sums.all(now, "router-0")
+				sums.totalFor(now, "router-0", "", nil)
 			}
 		})
 	}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -26,6 +26,9 @@
 	// primaryBackoff is how long a control host that failed as the primary is
 	// not chosen again. Meanwhile it is called in turn with the others.
 	primaryBackoff = 3 * time.Second
+	// primaryReturnDelay is how long a host that is nearer than the primary must
+	// have been alive to replace it.
+	primaryReturnDelay = 2 * time.Second
 	// primarySilence is how long after its last answer the primary is expected to
 	// send newer routing tables, so that the other control hosts need not.
 	primarySilence = 300 * time.Millisecond
@@ -103,6 +106,9 @@
 	// primary is the control host that this router reports its load to; "" if
 	// there is none.
 	primary string
+	// nearerSince is since when a nearer host than the primary has been alive; zero
+	// if none is.
+	nearerSince time.Time
 	// primaryFailures is when each host last failed as the primary.
 	primaryFailures map[string]time.Time
 	// primaryAnsweredAt is when the primary last answered.
@@ -113,6 +119,8 @@
 	newerSince    time.Time
 	// sentLoads holds this router's latest load reports.
 	sentLoads *sentLoads
+	// firstChoice holds the endpoints that routers of this region choose first.
+	firstChoice map[string]bool
 	// otherRouters is the number of other routers of the site.
 	otherRouters int
 }
--- a/internal/site/router_test.go
+++ b/internal/site/router_test.go
@@ -1,8 +1,12 @@
 package site
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 
 	"oleanderramp/internal/discovery"
@@ -38,9 +42,50 @@
 		{Address: "a", Region: "x", Zone: "x-1"}, {Address: "b", Region: "y", Zone: "y-1"},
 		{Address: "c", Region: "y", Zone: "y-2"}, {Address: "d", Region: "y", Zone: "y-2"},
 	}
-	c.Check(nearest(hosts, "y", "y-1"), qt.Equals, "b")
-	c.Check(nearest(hosts, "y", "y-2"), qt.Equals, "c")
-	c.Check(nearest(hosts, "y", "y-3"), qt.Equals, "b")
-	c.Check(nearest(hosts, "z", "z-1"), qt.Equals, "a")
-	c.Check(nearest(nil, "y", "y-1"), qt.Equals, "")
+	for _, test := range []struct{ region, zone, want string }{
+		{"y", "y-1", "b"}, {"y", "y-2", "c"}, {"y", "y-3", "b"}, {"x", "x-2", "a"},
+	} {
+		got, found := nearest(hosts, place{region: test.region, zone: test.zone})
+		c.Check(found, qt.IsTrue)
+		c.Check(got.Address, qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+	_, found := nearest(nil, place{region: "y", zone: "y-1"})
+	c.Check(found, qt.IsFalse)
+}
+
+// TestZonesSpreadOverFarHosts guards against one control host that gets all
+// routers of a region whose own hosts are down.
+func TestZonesSpreadOverFarHosts(t *testing.T) {
+	c := qt.New(t)
+	hosts := []discovery.Host{{Address: "a", Region: "x"}, {Address: "b", Region: "x"}, {Address: "c", Region: "y"}}
+	used := make(map[string]bool)
+	for i := range 12 {
+		h, _ := nearest(hosts, place{region: "z", zone: fmt.Sprint("z-", i)})
+		used[h.Address] = true
+	}
+	c.Check(used, qt.HasLen, len(hosts))
+}
+
+// TestPrimaryReturnsToNearestHost guards against routers that stay with a host of
+// another region after their own has failed for a moment.
+func TestPrimaryReturnsToNearestHost(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	r := &router{
+		settings: &settings.Site{Region: "x", Zone: "x-1"}, log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+		hosts: discovery.New("self", nil), primaryFailures: make(map[string]time.Time),
+	}
+	far, near := discovery.Host{Address: "far", Region: "y", Zone: "y-1"}, discovery.Host{Address: "near", Region: "x", Zone: "x-1"}
+	r.hosts.MarkAlive(now, far)
+	c.Check(r.choosePrimary(now), qt.Equals, "far")
+	for elapsed := time.Duration(0); elapsed <= primaryReturnDelay; elapsed += 100 * time.Millisecond {
+		r.hosts.MarkAlive(now.Add(elapsed), far)
+		r.hosts.MarkAlive(now.Add(elapsed), near)
+		want := "far"
+		if elapsed == primaryReturnDelay {
+			want = "near"
+		}
+		c.Assert(r.choosePrimary(now.Add(elapsed)), qt.Equals, want, qt.Commentf("after %v", elapsed))
+	}
+	c.Check(r.choosePrimary(now.Add(time.Hour)), qt.Equals, "")
 }
--- a/internal/site/routersync.go
+++ b/internal/site/routersync.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"oleanderramp/internal/balance"
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/discovery"
 	"oleanderramp/internal/event"
@@ -70,43 +71,42 @@
 }
 
 // choosePrimary returns the current primary while it is alive, and otherwise
-// chooses a new one, preferably in the same region.
+// chooses a new one, the nearest. A nearer host that has been alive for
+// primaryReturnDelay replaces the primary.
 func (r *router) choosePrimary(now time.Time) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	alive := slices.DeleteFunc(r.hosts.Alive(now), func(h discovery.Host) bool {
 		return h.Draining || now.Sub(r.primaryFailures[h.Address]) < primaryBackoff
 	})
-	if slices.ContainsFunc(alive, func(h discovery.Host) bool { return h.Address == r.primary }) {
-		return r.primary
+	place := placeOf(r.settings)
+	best, found := nearest(alive, place)
+	if !found {
+		r.setPrimary("", 0)
+		return ""
 	}
-	previous := r.primary
-	r.primary = nearest(alive, r.settings.Region, r.settings.Zone)
-	if r.primary != previous {
-		event.PrimaryChanged.Log(r.log, event.Fields{"before": previous, "peer": r.primary, "alive": len(alive)})
+	current := slices.IndexFunc(alive, func(h discovery.Host) bool { return h.Address == r.primary })
+	switch {
+	case current < 0:
+		r.setPrimary(best.Address, len(alive))
+	case place.distance(best) >= place.distance(alive[current]):
+		r.nearerSince = time.Time{}
+	case r.nearerSince.IsZero():
+		r.nearerSince = now
+	case now.Sub(r.nearerSince) >= primaryReturnDelay:
+		r.setPrimary(best.Address, len(alive))
 	}
 	return r.primary
 }
 
-// nearest returns the first host of the availability zone, or else of the region,
-// or else of all. All routers of a zone thus choose the same host, which lets them
-// learn of each other's load with the least delay, and the load of all routers is
-// spread over the hosts.
-func nearest(alive []discovery.Host, region, zone string) string {
-	for _, h := range alive {
-		if h.Region == region && h.Zone == zone {
-			return h.Address
-		}
-	}
-	for _, h := range alive {
-		if h.Region == region {
-			return h.Address
-		}
-	}
-	if len(alive) > 0 {
-		return alive[0].Address
+// setPrimary changes the primary. The caller holds r.mu.
+func (r *router) setPrimary(address string, alive int) {
+	r.nearerSince = time.Time{}
+	if address == r.primary {
+		return
 	}
-	return ""
+	event.PrimaryChanged.Log(r.log, event.Fields{"before": r.primary, "peer": address, "alive": alive})
+	r.primary = address
 }
 
 // othersSyncer returns a function that calls the next of the known control
@@ -142,7 +142,7 @@
 // router's state, and only the primary sends a newer routing table while it
 // answers.
 func (r *router) syncRequest(now time.Time, host string, primary bool) *wire.SyncRequest {
-	request := &wire.SyncRequest{Sender: r.self, RoutingVersion: r.RoutingVersion()}
+	request := &wire.SyncRequest{Sender: r.self, RoutingVersion: r.RoutingVersion(), Region: r.settings.Region}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	cursor := r.cursors[host]
@@ -218,6 +218,13 @@
 	r.cursors[host] = cursor
 	// This is done under the lock so that an older state cannot overwrite a
 	// newer one.
+	if changed {
+		r.firstChoice = balance.FirstChoice(r.directory.Usable(), r.settings.Region)
+	}
+	var only map[string]bool
+	if response.GetLoadPartial() {
+		only = r.firstChoice
+	}
 	if table := r.Table(); table != nil && (changed || newTable) {
 		usable := r.directory.Usable()
 		r.forwarder.UpdateEndpoints(now, usable)
@@ -231,7 +238,7 @@
 	case loadErr != nil:
 		event.LoadUnreadable.Log(r.log, event.Fields{"peer": host, "error": loadErr.Error()})
 	case primary:
-		r.admission.SetOtherRouters(now, others.endpoints, others.accounts, cachedFromWire(now, response.GetCached()))
+		r.admission.SetOtherRouters(now, others.endpoints, only, others.accounts, cachedFromWire(now, response.GetCached()))
 		r.updateRetryBudget()
 	}
 }
