Give up a silent answer before its first byte in time for its caller to retry

Before the first byte the old rule holds again, extended by this router's own lag; a stream that has begun is still waited for, as the caller has nothing from half of it.

--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -311,26 +311,28 @@
 )
 
 // headerTimeout returns the maximum time until the answer's header. A request
-// that no other endpoint may run gets all the time that is left.
+// that must run at most once gets all the time that is left. Any other is given up
+// in time for its caller to try again, if no other endpoint may run it.
 func (f *Forwarder) headerTimeout(t *task, p placement, left time.Duration) time.Duration {
-	if t.route.Objective <= 0 || !f.mayReplace(t) {
+	if !t.route.Idempotent() || t.route.Objective <= 0 {
 		return left
 	}
 	return min(left, headerTimeoutObjectives*max(t.route.Objective, p.choice.Predicted)+f.lagAllowance())
 }
 
-// progressTimeout returns the maximum pause within an answer.
+// progressTimeout returns the maximum pause within an answer. If no other endpoint
+// may continue it, a silent endpoint is waited for until the deadline: the rest may
+// still come, and the caller has nothing from half an answer.
 func (f *Forwarder) progressTimeout(t *task, left time.Duration) time.Duration {
-	if t.route.MaxEventGap <= 0 || !f.mayReplace(t) {
+	if t.route.MaxEventGap <= 0 || !f.mayContinueElsewhere(t) {
 		return left
 	}
 	return min(left, progressTimeoutGaps*t.route.MaxEventGap+f.lagAllowance())
 }
 
-// mayReplace reports whether another endpoint may run the request if the next
-// attempt is given up. If not, a silent endpoint is waited for until the deadline:
-// its answer may still come.
-func (f *Forwarder) mayReplace(t *task) bool {
+// mayContinueElsewhere reports whether another endpoint may run the request if the
+// next attempt is given up.
+func (f *Forwarder) mayContinueElsewhere(t *task) bool {
 	if !t.route.Idempotent() || t.reachedEndpoints+1 >= max(t.route.MaxAttempts, 1) {
 		return false
 	}
