Split the largest files of edge, endpoint, balance and daemon

Moves only: the timeouts of a call, the refusals under overload, reservations, the building of an endpoint request, the placement lease, and the types of a demand have files of their own. The order of near and far endpoints is one comparison.

--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -50,26 +50,19 @@
 			near++
 		}
 	}
-	nearFirst := near >= minNear
 	slices.SortFunc(ordered, func(a, b *endpoint) int {
 		aNear, bNear := a.entry.Region == region, b.entry.Region == region
-		if nearFirst && aNear != bNear {
-			return boolOrder(aNear)
+		if near >= minNear && aNear != bNear {
+			if aNear {
+				return -1
+			}
+			return 1
 		}
 		return cmp.Compare(b.score, a.score)
 	})
 	return slices.Collect(slices.Chunk(ordered, groupSize))
 }
 
-// boolOrder returns the order of a before b if first is true, and the reverse
-// otherwise.
-func boolOrder(first bool) int {
-	if first {
-		return -1
-	}
-	return 1
-}
-
 // FirstChoice returns the IDs of the endpoints that routers of the region choose
 // first: those of the region for services that have minNear of them there, and
 // otherwise all. The routers need to hear of the others less often.
--- /dev/null
+++ b/internal/balance/demand.go
@@ -0,0 +1,91 @@
+package balance
+
+import (
+	"time"
+
+	"oleanderramp/internal/directory"
+)
+
+// Part is a section of a prompt that other prompts may share as a prefix.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt describes the work that a request causes at an engine.
+type Prompt struct {
+	// Tokens is the length of the prompt, and Output the maximum number of
+	// tokens generated.
+	Tokens int
+	Output int
+	// Parts are the sections of the prompt in order. The last one is specific to
+	// the request and is not shared.
+	Parts []Part
+}
+
+// Demand describes a request that needs an endpoint.
+type Demand struct {
+	Service string
+	Prompt  Prompt
+	// MaxResponseTime bounds the predicted time until the first event of a
+	// stream or the answer. MaxTotalTime bounds the predicted time until the
+	// whole answer; 0 means no bound.
+	MaxResponseTime time.Duration
+	MaxTotalTime    time.Duration
+	// SpareOnly requests run only on endpoints that have spare slots left for
+	// further requests.
+	SpareOnly bool
+	// Excluded lists the IDs of endpoints that must not be chosen.
+	Excluded []string
+	// Seed spreads demands without prompt parts over the endpoints.
+	Seed uint64
+}
+
+// Load is the work in progress at an endpoint.
+type Load struct {
+	Running int
+	// Prefill is the number of prompt tokens that are still to be read.
+	Prefill int
+	// Memory is the maximum number of tokens that the requests hold in memory.
+	Memory int
+}
+
+// Add returns the sum of both loads.
+func (l Load) Add(other Load) Load {
+	return Load{Running: l.Running + other.Running, Prefill: l.Prefill + other.Prefill, Memory: l.Memory + other.Memory}
+}
+
+// Subtract returns the difference of both loads. No value falls below 0.
+func (l Load) Subtract(other Load) Load {
+	return Load{
+		Running: max(l.Running-other.Running, 0), Prefill: max(l.Prefill-other.Prefill, 0), Memory: max(l.Memory-other.Memory, 0),
+	}
+}
+
+// Reason is the reason why no endpoint was chosen.
+type Reason string
+
+const (
+	// NoEndpoint means that the service has no endpoint, or that all of them are
+	// excluded or down.
+	NoEndpoint Reason = "no_endpoint"
+	// Busy means that none of the endpoints has the capacity to answer in time.
+	Busy Reason = "busy"
+)
+
+// Choice is an endpoint for a request, or the reason why there is none.
+type Choice struct {
+	Endpoint directory.Entry
+	// Predicted is the predicted time until the first event or the answer.
+	Predicted time.Duration
+	// Uncached is the number of prompt tokens that the endpoint must read.
+	Uncached int
+	// Source is another endpoint from which cached prompt parts can be fetched;
+	// its ID is empty when there is none.
+	Source directory.Entry
+	// Load is the known load of the endpoint when it was chosen.
+	Load   Load
+	Reason Reason
+	// chain holds the links of the request's prompt.
+	chain []link
+}
--- a/internal/daemon/recordstore.go
+++ b/internal/daemon/recordstore.go
@@ -27,7 +27,7 @@
 
 // quorumClient executes commands and queries on the replicated state.
 type quorumClient interface {
-	Execute(ctx context.Context, command *wire.Command) (*wire.Result, error)
+	executor
 	Query(ctx context.Context, request *wire.QueryRequest) (*wire.QueryResponse, error)
 }
 
--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -93,14 +93,6 @@
 	placed      chan placement
 }
 
-// reservation is the capacity that a request occupies at an endpoint.
-type reservation struct {
-	admission *AdmissionController
-	inner     *balance.Reservation
-	// firstEventSeen is true after the first event.
-	firstEventSeen bool
-}
-
 // NewAdmissionController returns a controller for a router in the region. The
 // shares are counted over the window.
 func NewAdmissionController(region string, window time.Duration) *AdmissionController {
@@ -282,25 +274,6 @@
 	})
 }
 
-// recordEvents records that count recordEvents of the answer were received.
-func (r *reservation) recordEvents(now time.Time, count int) {
-	r.admission.mu.Lock()
-	defer r.admission.mu.Unlock()
-	r.inner.RecordEvents(now, count)
-	if !r.firstEventSeen {
-		r.firstEventSeen = true
-		r.admission.placeWaiting(now)
-	}
-}
-
-// end releases the reservation and records the outcome.
-func (r *reservation) end(now time.Time, outcome balance.Outcome) {
-	r.admission.mu.Lock()
-	defer r.admission.mu.Unlock()
-	r.inner.End(now, outcome)
-	r.admission.placeWaiting(now)
-}
-
 // refusal returns the failure of a request for which no endpoint was reserved.
 func refusal(request placementRequest, reason balance.Reason, within bool) *failure {
 	f := &failure{status: 503, outcome: OutcomeNotRun, retryAfter: max(scale(request.objective, retryAfterFraction), minRetryAfter)}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -11,7 +11,6 @@
 
 	"github.com/apex/log"
 
-	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
 	"oleanderramp/internal/quarantine"
 	"oleanderramp/internal/retry"
@@ -127,78 +126,14 @@
 	firstEventAt time.Time
 }
 
-const (
-	// drainingRetryAfter is the Retry-After time of a daemon that is shutting
-	// down or overloaded. It is short because another daemon takes the request.
-	drainingRetryAfter = 50 * time.Millisecond
-	// startingRetryAfter is the same for a daemon without a routing table.
-	startingRetryAfter = 300 * time.Millisecond
-	// shedStartLag is the lag above which requests are shed, and shedAllLag the
-	// lag at which all are.
-	shedStartLag = 10 * time.Millisecond
-	shedAllLag   = 50 * time.Millisecond
-	// starvedLag and starvedUnsynced are the thresholds of Lag and UnsyncedFor at
-	// which, when both are reached, a daemon counts as too overloaded to
-	// communicate with its control hosts. It refuses all requests then.
-	starvedLag      = 5 * time.Millisecond
-	starvedUnsynced = 1500 * time.Millisecond
-)
-
-// rejectEarly refuses a request before its body is read while the daemon is
-// shutting down or overloaded. The connection is closed, so that the caller's
-// next one reaches another daemon. Tokens refused because of overload still
-// count as asked for, so that the account counts as one that wants more than it
-// gets.
-func (f *Forwarder) rejectEarly(t *task, resolved bool) *failure {
-	now := time.Now()
-	switch {
-	case f.refusing.Load():
-		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
-	case f.overloaded(now, t, resolved):
-		if resolved {
-			f.cfg.Admission.recordAsked(now, t.account, t.tokens())
-		}
-		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: drainingRetryAfter, message: "the daemon is overloaded"}
-	default:
-		return nil
-	}
-}
-
-// overloaded reports whether to refuse a request because this daemon is
-// overloaded.
-func (f *Forwarder) overloaded(now time.Time, t *task, resolved bool) bool {
-	if f.cfg.MaxActive > 0 && f.Active() > f.cfg.MaxActive {
-		return true
-	}
-	lag := f.cfg.Lag()
-	if lag >= starvedLag && f.cfg.UnsyncedFor() >= starvedUnsynced {
-		return true
-	}
-	if lag <= shedStartLag {
-		return false
-	}
-	return shed(lag, !resolved || f.cfg.Admission.beyondShare(now, t.account), rand.Float64())
-}
-
-// Overloaded reports whether this daemon is refusing most of its requests.
-func (f *Forwarder) Overloaded() bool { return f.cfg.Lag() >= (shedStartLag+shedAllLag)/2 }
-
-// shed reports whether to refuse a request at the given lag. Requests with
-// shedFirst set are all refused before any other is. random is uniform in
-// [0, 1).
-func shed(lag time.Duration, shedFirst bool, random float64) bool {
-	probability := 2 * float64(lag-shedStartLag) / float64(shedAllLag-shedStartLag)
-	if !shedFirst {
-		probability--
-	}
-	return probability > random
-}
-
 // digest identifies the request's content.
 func (t *task) digest() quarantine.Digest {
 	return quarantine.NewDigest(t.service, t.request.Method, t.request.Target, t.request.Body)
 }
 
+// startingRetryAfter is the Retry-After time of a daemon without a routing table.
+const startingRetryAfter = 300 * time.Millisecond
+
 // resolve finds the route and the account of the request.
 func (f *Forwarder) resolve(t *task) *failure {
 	table := f.cfg.Tables.Table()
@@ -283,64 +218,3 @@
 		event.RequestFailed.Log(f.cfg.Log, fields)
 	}
 }
-
-// call returns the call to the endpoint of the placement.
-func (f *Forwarder) call(now time.Time, t *task, p placement) endpoint.Call {
-	left := t.deadline.Sub(now)
-	send := ForwardInfo{TimeLeft: left, Account: t.account, Endpoint: p.choice.Endpoint.ID, Source: p.choice.Source.Address, LastEvent: t.answer.lastEvent}
-	return endpoint.Call{
-		RequestID: t.request.ID, Address: p.choice.Endpoint.Address, Host: t.request.Host,
-		Method: t.request.Method, Path: t.request.Target, Body: t.request.Body,
-		Header:        f.cfg.Codec.Outgoing(t.request, send),
-		HeaderTimeout: f.headerTimeout(t, p, left), ProgressTimeout: f.progressTimeout(t, left),
-		MaxAnswerBytes: f.cfg.MaxAnswerBytes, Stream: t.route.Kind == routing.Streaming,
-		Idempotent: t.route.Idempotent(), Pooled: t.route.Kind != routing.Unsafe,
-		Raw: true, RequireEcho: true,
-	}
-}
-
-const (
-	// headerTimeoutObjectives is the number of objectives after which an
-	// idempotent request without an answer is retried on another endpoint.
-	headerTimeoutObjectives = 2
-	// progressTimeoutGaps is the number of maximum event gaps after which a
-	// stalled stream of an idempotent route is continued on another endpoint.
-	progressTimeoutGaps = 3
-	// lagAllowanceFactor multiplies this daemon's lag to extend both timeouts.
-	lagAllowanceFactor = 20
-)
-
-// headerTimeout returns the maximum time until the answer's header. A request
-// that must run at most once gets all the time that is left. Any other is given up
-// in time for its caller to try again, if no other endpoint may run it.
-func (f *Forwarder) headerTimeout(t *task, p placement, left time.Duration) time.Duration {
-	if !t.route.Idempotent() || t.route.Objective <= 0 {
-		return left
-	}
-	return min(left, headerTimeoutObjectives*max(t.route.Objective, p.choice.Predicted)+f.lagAllowance())
-}
-
-// progressTimeout returns the maximum pause within an answer. If no other endpoint
-// may continue it, a silent endpoint is waited for until the deadline: the rest may
-// still come, and the caller has nothing from half an answer.
-func (f *Forwarder) progressTimeout(t *task, left time.Duration) time.Duration {
-	if t.route.MaxEventGap <= 0 || !f.mayContinueElsewhere(t) {
-		return left
-	}
-	return min(left, progressTimeoutGaps*t.route.MaxEventGap+f.lagAllowance())
-}
-
-// mayContinueElsewhere reports whether another endpoint may run the request if the
-// next attempt is given up.
-func (f *Forwarder) mayContinueElsewhere(t *task) bool {
-	if !t.route.Idempotent() || t.reachedEndpoints+1 >= max(t.route.MaxAttempts, 1) {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.budget.Budget(t.service) >= 1
-}
-
-// lagAllowance returns how much longer than usual an endpoint may seem silent, as
-// this daemon reads its answer late by about the lag for each step.
-func (f *Forwarder) lagAllowance() time.Duration { return lagAllowanceFactor * f.cfg.Lag() }
--- /dev/null
+++ b/internal/edge/reservation.go
@@ -0,0 +1,34 @@
+package edge
+
+import (
+	"time"
+
+	"oleanderramp/internal/balance"
+)
+
+// reservation is the capacity that a request occupies at an endpoint.
+type reservation struct {
+	admission *AdmissionController
+	inner     *balance.Reservation
+	// firstEventSeen is true after the first event.
+	firstEventSeen bool
+}
+
+// recordEvents records that count recordEvents of the answer were received.
+func (r *reservation) recordEvents(now time.Time, count int) {
+	r.admission.mu.Lock()
+	defer r.admission.mu.Unlock()
+	r.inner.RecordEvents(now, count)
+	if !r.firstEventSeen {
+		r.firstEventSeen = true
+		r.admission.placeWaiting(now)
+	}
+}
+
+// end releases the reservation and records the outcome.
+func (r *reservation) end(now time.Time, outcome balance.Outcome) {
+	r.admission.mu.Lock()
+	defer r.admission.mu.Unlock()
+	r.inner.End(now, outcome)
+	r.admission.placeWaiting(now)
+}
