Take a region as sufficient only for services compared in groups

A service with few endpoints compares all of them, but a region with 12 of these got the loads of the others only every 500 ms and none of their cached parts.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -43,9 +43,11 @@
 	return entries
 }
 
+var routingEngine = routing.Engine{Slots: 4, MemoryTokens: 100_000, TokensPerEvent: 5, FetchRate: 1000}
+
 func engines(c *qt.C, count int) *balance.Balancer {
 	b := balance.New("near")
-	b.Update(fleet("engines", 4, count), table(c, routing.Engine{Slots: 4, MemoryTokens: 100_000, TokensPerEvent: 5, FetchRate: 1000}))
+	b.Update(fleet("engines", 4, count), table(c, routingEngine))
 	return b
 }
 
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -64,18 +64,21 @@
 }
 
 // FirstChoice returns the IDs of the endpoints that routers of the region choose
-// first: those of the region for services that have minNear of them there, and
-// otherwise all. The routers need to hear of the others less often.
+// first: those of the region for services that are compared in groups and have
+// minNear of them there, and otherwise all. The routers need to hear of the others
+// less often.
 func FirstChoice(entries []directory.Entry, region string) map[string]bool {
-	near := make(map[string]int)
+	total, near := make(map[string]int), make(map[string]int)
 	for _, e := range entries {
+		total[e.Service]++
 		if e.Region == region {
 			near[e.Service]++
 		}
 	}
 	first := make(map[string]bool, len(entries))
 	for _, e := range entries {
-		if e.Region == region || near[e.Service] < minNear {
+		nearSuffices := total[e.Service] > maxCompared && near[e.Service] >= minNear
+		if e.Region == region || !nearSuffices {
 			first[e.ID] = true
 		}
 	}
