--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -164,3 +164,28 @@
 	c.Check(d.Announce(own), qt.Equals, directory.Left)
 	c.Check(ids(revision, directory.Changes), qt.DeepEquals, []string{"other", "own"})
 }
+
+// TestSinceOfOmitsRenewalsOfOthers checks that a reader that needs few endpoints
+// still gets the changes of all of them.
+func TestSinceOfOmitsRenewalsOfOthers(t *testing.T) {
+	c := qt.New(t)
+	d := directory.New()
+	now := time.Unix(1_000_000, 0)
+	entry := func(id string, sequence uint64, leaving bool) directory.Entry {
+		return directory.Entry{ID: id, Service: "s", Address: id, Started: now, Sequence: sequence, Leaving: leaving, LastSeen: now}
+	}
+	for _, id := range []string{"needed", "other", "leaver"} {
+		d.Announce(entry(id, 1, false))
+	}
+	revision := d.Revision()
+	for _, id := range []string{"needed", "other"} {
+		c.Assert(d.Announce(entry(id, 2, false)), qt.Equals, directory.Renewed)
+	}
+	c.Assert(d.Announce(entry("leaver", 2, true)), qt.Equals, directory.Left)
+	var got []string
+	for _, e := range d.SinceOf(revision, directory.All, map[string]bool{"needed": true}) {
+		got = append(got, e.ID)
+	}
+	c.Check(got, qt.DeepEquals, []string{"leaver", "needed"})
+	c.Check(d.Since(revision, directory.All), qt.HasLen, 3)
+}
--- a/internal/site/router_test.go
+++ b/internal/site/router_test.go
@@ -89,3 +89,29 @@
 	}
 	c.Check(r.choosePrimary(now.Add(time.Hour)), qt.Equals, "")
 }
+
+// TestPrimaryBringsTable guards against a router that never gets a newer routing
+// table, because it expects that from a primary that is silent or out of touch with
+// the quorum, and against hundreds of routers that each get it from all hosts.
+func TestPrimaryBringsTable(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tests := []struct {
+		name string
+		// answered and newer are how long ago the primary last answered, and since
+		// when another host names a newer table.
+		answered, newer time.Duration
+		newestVersion   uint64
+		want            bool
+	}{
+		{"answers", 0, 0, 0, true},
+		{"silent", primarySilence, 0, 0, false},
+		{"newer table named just now", 0, 0, 1, true},
+		{"left out a newer table", 0, primarySilence, 1, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := &router{primaryAnsweredAt: now.Add(-test.answered), newerSince: now.Add(-test.newer), newestVersion: test.newestVersion}
+			qt.Check(t, r.primaryBringsTable(now), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/site/routersync.go
+++ b/internal/site/routersync.go
@@ -79,8 +79,8 @@
 	alive := slices.DeleteFunc(r.hosts.Alive(now), func(h discovery.Host) bool {
 		return h.Draining || now.Sub(r.primaryFailures[h.Address]) < primaryBackoff
 	})
-	place := placeOf(r.settings)
-	best, found := nearest(alive, place)
+	here := placeOf(r.settings)
+	best, found := nearest(alive, here)
 	if !found {
 		r.setPrimary("", 0)
 		return ""
@@ -89,7 +89,7 @@
 	switch {
 	case current < 0:
 		r.setPrimary(best.Address, len(alive))
-	case place.distance(best) >= place.distance(alive[current]):
+	case here.distance(best) >= here.distance(alive[current]):
 		r.nearerSince = time.Time{}
 	case r.nearerSince.IsZero():
 		r.nearerSince = now
@@ -201,7 +201,7 @@
 		}
 	}
 	r.directory.RemoveExpired(now)
-	if inForce := r.RoutingVersion(); r.newestVersion <= inForce {
+	if r.newestVersion <= r.RoutingVersion() {
 		r.newerSince = now
 	}
 	r.newestVersion = max(r.newestVersion, response.GetRoutingVersion())
