Log the longest pause within an answer

A stream that was given up because its endpoint paused, one whose endpoint went on by itself, and one that only ended late looked alike in events 201, 203 and 205. They now carry longest_pause_ms.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -44,6 +44,10 @@
 	// attemptBeganAt is when the first bytes of the current attempt's answer arrived;
 	// zero before that.
 	attemptBeganAt time.Time
+	// lastPartAt is when the last part of the answer arrived, and longestPause the
+	// longest time between two parts.
+	lastPartAt   time.Time
+	longestPause time.Duration
 	// resumeChecked is false until the first event of a resumed stream has been
 	// checked.
 	resumeChecked bool
@@ -92,9 +96,7 @@
 
 // Data forwards the next bytes.
 func (a *answer) Data(p []byte) error {
-	if a.attemptBeganAt.IsZero() {
-		a.attemptBeganAt = time.Now()
-	}
+	a.recordPart(time.Now())
 	if !a.stream {
 		a.buffered.Write(p)
 		if a.buffered.Len() <= maxBufferedBytes && !a.sent {
@@ -120,6 +122,22 @@
 	return a.flush()
 }
 
+// recordPart records the time at which a part of the answer arrived.
+func (a *answer) recordPart(now time.Time) {
+	if a.attemptBeganAt.IsZero() {
+		a.attemptBeganAt = now
+	}
+	a.recordPause(now)
+	a.lastPartAt = now
+}
+
+// recordPause records the time since the last part of the answer.
+func (a *answer) recordPause(now time.Time) {
+	if !a.lastPartAt.IsZero() {
+		a.longestPause = max(a.longestPause, now.Sub(a.lastPartAt))
+	}
+}
+
 // flush sends the buffered bytes.
 func (a *answer) flush() error {
 	if !a.sent {
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -214,11 +214,15 @@
 func (t *task) endFields(took time.Duration) event.Fields {
 	fields := t.logFields()
 	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), t.reachedEndpoints, t.answer.sent
+	if t.answer.sent {
+		fields["longest_pause_ms"] = t.answer.longestPause.Milliseconds()
+	}
 	return fields
 }
 
 // failureFields returns the log fields of the end of a request that failed.
 func (t *task) failureFields(fail *failure, took time.Duration) event.Fields {
+	t.answer.recordPause(t.request.ReceivedAt.Add(took))
 	fields := t.endFields(took)
 	fields["outcome"], fields["code"], fields["error"], fields["status"] = string(fail.outcome), string(fail.code), fail.message, fail.status
 	return fields
