Give a silent call up only once another endpoint has taken its request

Cause: a call was cancelled when its endpoint had been silent for the limit, and only then were the retry budget and another endpoint looked for; whether there could be one had been decided when the attempt began. The class: what can still succeed is given up before its replacement is sure.

Now silence cancels nothing. While the endpoint is silent, the request is sent to a second one as well, if budget, attempts and capacity allow; they are asked for again every 100 ms. Whichever of the two answers first is forwarded and the other call ends. The second endpoint of a stream is taken as sure when it has not refused within 250 ms, so that both do not run it for long. If it refuses or fails, the first is waited for. Events 420 and 421 say what was decided and why.

--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -162,11 +162,3 @@
 func scale(d time.Duration, fraction float64) time.Duration {
 	return time.Duration(float64(d) * fraction)
 }
-
-// serves reports whether any endpoint may run the request, with or without capacity
-// for it now.
-func (c *AdmissionController) serves(now time.Time, d balance.Demand) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.balancer.Serves(now, d)
-}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math"
 	"time"
 
@@ -36,7 +35,7 @@
 			placed.reservation.end(time.Now(), balance.Abandoned)
 			return callerGone()
 		}
-		callErr = f.attempt(ctx, t, placed)
+		placed, callErr = f.attempt(ctx, t, placed)
 		if callErr == nil {
 			return nil
 		}
@@ -64,17 +63,27 @@
 	if refused != nil {
 		return placed, refused
 	}
-	t.placed, t.predicted, t.placedAt = placed.choice.Endpoint, placed.choice.Predicted, time.Now()
-	fields := t.logFields()
+	t.usePlacement(time.Now(), placed)
+	f.logPlacement(t, placed, t.reachedEndpoints+1)
 	t.placementFields = nil
+	return placed, nil
+}
+
+// usePlacement records where the request was placed.
+func (t *task) usePlacement(now time.Time, placed placement) {
+	t.placed, t.predicted, t.placedAt = placed.choice.Endpoint, placed.choice.Predicted, now
+}
+
+// logPlacement logs where the request is sent, as which attempt, and why.
+func (f *Forwarder) logPlacement(t *task, placed placement, attempt int) {
+	fields := t.logFields()
 	fields["endpoint"], fields["predicted_ms"] = placed.choice.Endpoint.ID, placed.choice.Predicted.Milliseconds()
 	fields["running"], fields["prefill_tokens"], fields["uncached_tokens"] =
 		placed.choice.Load.Running, placed.choice.Load.Prefill, placed.choice.Uncached
 	fields["source"], fields["software"] = placed.choice.Source.ID, placed.choice.Endpoint.Software
 	t.logOrigin(fields)
-	fields["announced_ms_ago"], fields["attempt"] = time.Since(placed.choice.Endpoint.LastSeen).Milliseconds(), t.reachedEndpoints+1
+	fields["announced_ms_ago"], fields["attempt"] = time.Since(placed.choice.Endpoint.LastSeen).Milliseconds(), attempt
 	event.RequestRouted.Log(f.cfg.Log, fields)
-	return placed, nil
 }
 
 // demand returns what the request needs of an endpoint.
@@ -96,40 +105,6 @@
 	return fields
 }
 
-// attempt sends the request to the endpoint and forwards the answer.
-func (f *Forwarder) attempt(caller context.Context, t *task, p placement) *endpoint.CallError {
-	ctx, cancel := context.WithDeadline(caller, t.deadline)
-	defer cancel()
-	t.answer.startAttempt(p.reservation)
-	_, err := f.cfg.Endpoints.Do(ctx, f.call(time.Now(), t, p), t.answer)
-	if err == nil {
-		p.reservation.end(time.Now(), balance.Answered)
-		f.crashes.recordAnswered(time.Now(), t.run)
-		f.cfg.Metrics.AddService(t.service, t.account, float64(t.request.Prompt.Tokens))
-		return nil
-	}
-	var callErr *endpoint.CallError
-	if !errors.As(err, &callErr) {
-		callErr = &endpoint.CallError{Kind: endpoint.ConnectionLost}
-	}
-	outcome := endpointOutcome(callErr)
-	if callErr.Kind == endpoint.CallerGone && caller.Err() == nil {
-		outcome = balance.Failed // The deadline expired; the caller did not disconnect.
-	}
-	p.reservation.end(time.Now(), outcome)
-	switch callErr.Kind {
-	case endpoint.ConnectionLost, endpoint.Truncated:
-		f.recordLost(time.Now(), t, p.choice.Endpoint)
-	case endpoint.DialFailed:
-		f.crashes.recordUnreachable(time.Now(), p.choice.Endpoint.ID)
-	}
-	if callErr.Kind != endpoint.DialFailed && callErr.Kind != endpoint.NotSent {
-		t.reachedEndpoints++
-	}
-	t.mayHaveRun = t.mayHaveRun || callErr.MayHaveRun()
-	return callErr
-}
-
 // endpointOutcome returns the outcome of a failed call as recorded for the
 // endpoint.
 func endpointOutcome(err *endpoint.CallError) balance.Outcome {
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"time"
 
 	"oleanderramp/internal/endpoint"
@@ -43,18 +42,18 @@
 
 const (
 	// headerTimeoutObjectives is the number of objectives after which an
-	// idempotent request without an answer is retried on another endpoint.
+	// idempotent request without an answer is sent to another endpoint as well.
 	headerTimeoutObjectives = 2
-	// progressTimeoutGaps is the number of maximum event gaps after which a
-	// stalled stream of an idempotent route is continued on another endpoint.
+	// progressTimeoutGaps is the number of maximum event gaps after which the rest
+	// of a stalled stream is requested from another endpoint as well.
 	progressTimeoutGaps = 3
 	// lagAllowanceFactor multiplies this daemon's lag to extend both timeouts.
 	lagAllowanceFactor = 20
 )
 
-// headerTimeout returns the maximum time until the answer's header. A request
-// that must run at most once gets all the time that is left. Any other is given up
-// in time for its caller to try again, if no other endpoint may run it.
+// headerTimeout returns how long the endpoint may take until the answer's header before
+// the request is sent to another one as well. A request that must run at most once gets
+// all the time that is left.
 func (f *Forwarder) headerTimeout(t *task, p placement, left time.Duration) time.Duration {
 	if !t.route.Idempotent() || t.route.Objective <= 0 {
 		return left
@@ -62,34 +61,15 @@
 	return min(left, headerTimeoutObjectives*max(t.route.Objective, p.choice.Predicted)+f.lagAllowance())
 }
 
-// progressTimeout returns the maximum pause within an answer. If no other endpoint
-// may continue it, a silent endpoint is waited for until the deadline: the rest may
-// still come, and the caller has nothing from half an answer.
+// progressTimeout returns how long the endpoint may pause within an answer before the
+// rest is requested from another one as well.
 func (f *Forwarder) progressTimeout(t *task, left time.Duration) time.Duration {
-	if t.route.MaxEventGap <= 0 || !f.mayContinueElsewhere(t) {
+	if !t.route.Idempotent() || t.route.MaxEventGap <= 0 {
 		return left
 	}
 	return min(left, progressTimeoutGaps*t.route.MaxEventGap+f.lagAllowance())
 }
 
-// mayContinueElsewhere reports whether another endpoint may run the request if the
-// next attempt is given up.
-func (f *Forwarder) mayContinueElsewhere(t *task) bool {
-	if !t.route.Idempotent() || t.reachedEndpoints+1 >= max(t.route.MaxAttempts, 1) {
-		return false
-	}
-	if t.isStream() {
-		others := t.demand()
-		others.Software, others.Excluded = &t.placed.Software, append(slices.Clone(t.excluded), t.placed.ID)
-		if !f.cfg.Admission.serves(time.Now(), others) {
-			return false
-		}
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.budget.Budget(t.service) >= 1
-}
-
 // lagAllowance returns how much longer than usual an endpoint may seem silent, as
 // this daemon reads its answer late by about the lag for each step.
 func (f *Forwarder) lagAllowance() time.Duration { return lagAllowanceFactor * f.cfg.Lag() }
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -88,6 +88,13 @@
 	return f.budget.Spend(service)
 }
 
+// refundRetry returns a retry that was spent and not used.
+func (f *Forwarder) refundRetry(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Refund(service)
+}
+
 func (f *Forwarder) earnRetry(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/edge/waiting.go
+++ b/internal/edge/waiting.go
@@ -56,6 +56,15 @@
 	return c.wait(ctx, waiting, p.share)
 }
 
+// placeNow reserves an endpoint for the request if one has capacity. Otherwise it returns
+// the reason why none was chosen.
+func (c *AdmissionController) placeNow(now time.Time, request placementRequest) (placement, balance.Reason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, _ := c.tryAdmit(now, request)
+	return p, p.choice.Reason
+}
+
 // wait blocks until the request is placed, at most for waitFraction of its
 // objective.
 func (c *AdmissionController) wait(ctx context.Context, w *waitingRequest, s share.Share) (placement, *failure) {
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -79,8 +79,9 @@
 
 // receiveError reads the body of an error response.
 func (a *attempt) receiveError(response *http.Response) *CallError {
-	a.timer.Reset(a.call.ProgressTimeout)
+	a.silence.start(a.call.ProgressTimeout)
 	body, err := io.ReadAll(io.LimitReader(response.Body, errorBodyBytes))
+	a.silence.stop()
 	if err != nil {
 		return a.connectionError(Truncated, err)
 	}
@@ -133,9 +134,9 @@
 // while read waits for the endpoint, so that a slow caller does not count as an
 // unresponsive endpoint.
 func (a *attempt) read(body io.Reader, buffer []byte) (n int, done bool, callErr *CallError) {
-	a.timer.Reset(a.call.ProgressTimeout)
+	a.silence.start(a.call.ProgressTimeout)
 	n, err := body.Read(buffer)
-	a.timer.Stop()
+	a.silence.stop()
 	switch {
 	case errors.Is(err, io.EOF):
 		return n, true, nil
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -51,6 +51,13 @@
 	// OnNotice is called with what the endpoint states about itself, as soon as the
 	// header of a response has arrived, also if it states nothing. Optional.
 	OnNotice func(Notice)
+	// OnSilence is called when the endpoint has sent nothing for HeaderTimeout or
+	// ProgressTimeout, and again while it stays silent. The call goes on; it may be
+	// cancelled with the cause ErrSilent. If OnSilence is nil, the call ends. While it
+	// runs, no method of the sink does.
+	OnSilence func(silent time.Duration)
+	// OnSent is called once the request has been written to a connection. Optional.
+	OnSent func()
 	// Pooled lets a call that is not idempotent use an idle connection. If the
 	// endpoint closes that connection at the same moment, it is unknown whether
 	// the call ran.
@@ -85,8 +92,6 @@
 	FirstByte time.Duration
 }
 
-var errSilent = errors.New("no byte within the timeout")
-
 // Do makes the call and passes the response to sink. The error is nil if and
 // only if Result.Complete is true; otherwise it is a *CallError. The request is
 // sent at most once: Do retries, on a new connection, only if an idle connection
@@ -162,10 +167,10 @@
 	sink    Sink
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
-	// timer ends the attempt with errSilent.
-	timer  *time.Timer
-	start  time.Time
-	result Result
+	// silence runs while the attempt waits for the endpoint.
+	silence *silenceTimer
+	start   time.Time
+	result  Result
 
 	mu sync.Mutex
 	// conn is the connection in use, nil until there is one.
@@ -178,12 +183,16 @@
 func newAttempt(ctx context.Context, headers Headers, call Call, sink Sink) *attempt {
 	a := &attempt{headers: headers, call: call, sink: sink, start: time.Now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	a.timer = time.AfterFunc(call.HeaderTimeout, func() { a.cancel(errSilent) })
+	report := call.OnSilence
+	if report == nil {
+		report = func(time.Duration) { a.cancel(ErrSilent) }
+	}
+	a.silence = newSilenceTimer(call.HeaderTimeout, report)
 	return a
 }
 
 func (a *attempt) release() {
-	a.timer.Stop()
+	a.silence.stop()
 	a.cancel(nil)
 }
 
@@ -193,6 +202,7 @@
 		return &CallError{Kind: InvalidCall, err: err}
 	}
 	response, err := transport.RoundTrip(request)
+	a.silence.stop()
 	if err != nil {
 		return a.connectionError(ConnectionLost, err)
 	}
@@ -218,6 +228,13 @@
 	a.reused = info.Reused
 }
 
+// wroteRequest reports that the request has been sent.
+func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
+	if a.call.OnSent != nil && info.Err == nil {
+		a.call.OnSent()
+	}
+}
+
 // abandonedConn describes the connection of a call that was given up.
 type abandonedConn struct {
 	// connected reports whether there was a connection, and reused whether it
@@ -243,8 +260,8 @@
 	conn := a.abandonConn()
 	cause := context.Cause(a.ctx)
 	switch {
-	case errors.Is(cause, errSilent):
-		kind, err = Silent, errSilent
+	case errors.Is(cause, ErrSilent):
+		kind, err = Silent, ErrSilent
 	case cause != nil:
 		kind, err = CallerGone, cause
 	}
--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -140,7 +140,7 @@
 // stale reports whether an idle connection was found closed before any byte of
 // the request was written to it.
 func (e *CallError) stale() bool {
-	return e.Kind == NotSent && e.Reused && !errors.Is(e.err, errSilent)
+	return e.Kind == NotSent && e.Reused && !errors.Is(e.err, ErrSilent)
 }
 
 // responseComplete reports whether the endpoint sent a complete error response,
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -98,9 +98,11 @@
 	if ended {
 		return
 	}
-	a.timer.Reset(a.call.ProgressTimeout)
+	a.silence.start(a.call.ProgressTimeout)
 	var rest [1]byte
-	if _, err := body.Read(rest[:]); !errors.Is(err, io.EOF) {
+	_, err := body.Read(rest[:])
+	a.silence.stop()
+	if !errors.Is(err, io.EOF) {
 		a.abandonConn()
 	}
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -67,6 +67,8 @@
 	EndpointNotice        = define(417, log.InfoLevel, "endpoint wants no requests")
 	StreamSought          = define(419, log.InfoLevel, "origin of a stream sought")
 	EndpointRateLimit     = define(418, log.InfoLevel, "endpoint states another rate limit")
+	EndpointSilent        = define(420, log.InfoLevel, "endpoint silent")
+	HedgeSettled          = define(421, log.InfoLevel, "hedged request settled")
 	QuarantineUnpublished = define(413, log.WarnLevel, "quarantine not published")
 )
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -123,12 +123,15 @@
 
 // RecordRequest counts a first attempt, which adds Config.BudgetFraction to the
 // account's budget.
-func (p *Policy) RecordRequest(account string) {
+func (p *Policy) RecordRequest(account string) { p.add(account, p.config.BudgetFraction) }
+
+// add adds retries to the account's budget.
+func (p *Policy) add(account string, retries float64) {
 	budget, limited := p.budgets[account]
 	if !limited {
 		return
 	}
-	budget += p.config.BudgetFraction
+	budget += retries
 	if budget >= p.config.BudgetBurst {
 		delete(p.budgets, account)
 		return
@@ -158,6 +161,9 @@
 // possible.
 func (p *Policy) Spend(account string) bool { return p.charge(account) == "" }
 
+// Refund returns a retry to the account's budget that was charged and not made.
+func (p *Policy) Refund(account string) { p.add(account, 1) }
+
 // Decide returns what to do after a failed attempt. A retry is charged to the
 // account's budget, unless it is certain that the attempt did not run: such an
 // attempt used no endpoint capacity.
