Record the end of each call of a hedged request at once

The crash evidence of the first endpoint was recorded only after the second one had answered, up to the request's deadline later, and with the time at which the second one's answer began. Each call now records its own end.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -41,9 +41,6 @@
 	buffered bytes.Buffer
 	// lastEvent is the ID of the last event that was forwarded.
 	lastEvent string
-	// attemptBeganAt is when the first bytes of the current attempt's answer arrived;
-	// zero before that.
-	attemptBeganAt time.Time
 	// lastPartAt is when the last part of the answer arrived, and longestPause the
 	// longest time between two parts.
 	lastPartAt   time.Time
@@ -56,7 +53,6 @@
 // startAttempt prepares for the next attempt.
 func (a *answer) startAttempt(r *reservation) {
 	a.reservation = r
-	a.attemptBeganAt = time.Time{}
 	a.resumeChecked = a.lastEvent == ""
 	if !a.sent {
 		a.status = 0
@@ -124,9 +120,6 @@
 
 // recordPart records the time at which a part of the answer arrived.
 func (a *answer) recordPart(now time.Time) {
-	if a.attemptBeganAt.IsZero() {
-		a.attemptBeganAt = now
-	}
 	a.recordPause(now)
 	a.lastPartAt = now
 }
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
 
-	"oleanderramp/internal/balance"
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
 )
@@ -49,16 +47,16 @@
 	ctx, cancel := context.WithDeadline(caller, t.deadline)
 	defer cancel()
 	a := &attempt{forwarder: f, task: t, ctx: ctx}
-	a.first = a.newCall(p)
+	now := time.Now()
+	a.first = a.newCall(now, p)
 	t.answer.startAttempt(p.reservation)
-	call := f.call(time.Now(), t, p)
+	call := f.call(now, t, p)
 	if t.route.Idempotent() {
 		call.OnSilence = a.hedge
 	}
 	a.first.run(call)
 	last := a.settle()
 	if last.err == nil {
-		f.crashes.recordAnswered(time.Now(), t.run)
 		f.cfg.Metrics.AddService(t.service, t.account, float64(t.request.Prompt.Tokens))
 	}
 	return last.placement, last.err
@@ -80,7 +78,7 @@
 	if reason != "" {
 		return
 	}
-	second := a.newCall(p)
+	second := a.newCall(now, p)
 	call := a.forwarder.call(now, a.task, p)
 	call.OnSilence = func(time.Duration) {} // There is no third endpoint to wait for.
 	if a.task.isStream() {
@@ -169,18 +167,11 @@
 	if err == nil {
 		return
 	}
-	id := call.placement.choice.Endpoint.ID
-	switch err.Kind {
-	case endpoint.ConnectionLost, endpoint.Truncated:
-		a.forwarder.recordLost(time.Now(), t, call.placement.choice.Endpoint)
-	case endpoint.DialFailed:
-		a.forwarder.crashes.recordUnreachable(time.Now(), id)
-	}
 	if err.Kind != endpoint.DialFailed && err.Kind != endpoint.NotSent {
 		t.reachedEndpoints++
 	}
 	t.mayHaveRun = t.mayHaveRun || err.MayHaveRun()
-	if !slices.Contains(t.excluded, id) {
+	if id := call.placement.choice.Endpoint.ID; !slices.Contains(t.excluded, id) {
 		t.excluded = append(t.excluded, id)
 	}
 }
@@ -219,75 +210,3 @@
 	f.cfg.Metrics.CountRetry(t.service)
 	return p, ""
 }
-
-// attemptCall is a call of an attempt to one endpoint. It is the sink of the call.
-type attemptCall struct {
-	attempt   *attempt
-	placement placement
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-	// done is closed when the call has ended, with err.
-	done chan struct{}
-	err  *endpoint.CallError
-}
-
-func (a *attempt) newCall(p placement) *attemptCall {
-	ctx, cancel := context.WithCancelCause(a.ctx)
-	return &attemptCall{attempt: a, placement: p, ctx: ctx, cancel: cancel, done: make(chan struct{})}
-}
-
-// run makes the call and releases the endpoint's capacity.
-func (c *attemptCall) run(call endpoint.Call) {
-	defer close(c.done)
-	defer c.cancel(nil)
-	_, err := c.attempt.forwarder.cfg.Endpoints.Do(c.ctx, call, c)
-	if err != nil && !errors.As(err, &c.err) {
-		c.err = &endpoint.CallError{Kind: endpoint.ConnectionLost}
-	}
-	c.placement.reservation.end(time.Now(), c.outcome())
-}
-
-// outcome returns the outcome of the call as recorded for the endpoint.
-func (c *attemptCall) outcome() balance.Outcome {
-	if c.err == nil {
-		return balance.Answered
-	}
-	if c.err.Kind == endpoint.CallerGone && errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
-		return balance.Failed
-	}
-	return endpointOutcome(c.err)
-}
-
-// ended reports whether the call has ended.
-func (c *attemptCall) ended() bool {
-	select {
-	case <-c.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// claimUnlessRefused makes the call the one whose answer is forwarded, unless it has
-// ended.
-func (c *attemptCall) claimUnlessRefused() {
-	if !c.ended() {
-		c.attempt.claim(c)
-	}
-}
-
-// Head forwards the head of the answer.
-func (c *attemptCall) Head(status int, header http.Header) error {
-	if !c.attempt.claim(c) {
-		return errOutpaced
-	}
-	return c.attempt.task.answer.Head(status, header)
-}
-
-// Data forwards the next bytes of the answer.
-func (c *attemptCall) Data(p []byte) error {
-	if !c.attempt.claim(c) {
-		return errOutpaced
-	}
-	return c.attempt.task.answer.Data(p)
-}
--- a/internal/edge/partcrashes.go
+++ b/internal/edge/partcrashes.go
@@ -31,9 +31,9 @@
 	sentAt time.Time
 }
 
-// run returns the current run of the task.
-func (t *task) run() endpointRun {
-	return endpointRun{digest: t.digest(), parts: t.partDigests(), sentAt: t.placedAt}
+// run returns the run of the task at an endpoint that it was sent to then.
+func (t *task) run(sentAt time.Time) endpointRun {
+	return endpointRun{digest: t.digest(), parts: t.partDigests(), sentAt: sentAt}
 }
 
 // partDigests returns the digests of the prompt parts that other requests may share:
@@ -120,14 +120,15 @@
 	}
 }
 
-// recordLost records that the connection was lost on which the endpoint ran the
-// request. An answer that had been arriving for a while clears the request.
-func (f *Forwarder) recordLost(now time.Time, t *task, endpoint directory.Entry) {
-	if began := t.answer.attemptBeganAt; !began.IsZero() && now.Sub(began) >= answerProof {
-		f.crashes.recordAnswered(now, t.run)
+// recordLost records that the connection of the call was lost. An answer that had been
+// arriving for a while clears the request.
+func (c *attemptCall) recordLost(now time.Time) {
+	crashes := c.attempt.forwarder.crashes
+	if !c.beganAt.IsZero() && now.Sub(c.beganAt) >= answerProof {
+		crashes.recordAnswered(now, c.endpointRun)
 		return
 	}
-	f.crashes.recordLostConnection(now, endpoint, t.run())
+	crashes.recordLostConnection(now, c.placement.choice.Endpoint, c.endpointRun())
 }
 
 // PartReports returns the evidence about prompt parts for the other routers.
