Take a stream that does not follow the last event as the endpoint's fault

What callers saw: a stream broke off although its endpoint, or a third one, would have brought the rest.

Cause: the answer's sink reported that a resumed stream does not continue after the last forwarded event as it reports a caller that left. The request ended as "not the endpoint's fault". Besides, the head of such an answer made the second endpoint of a hedged request the one that is forwarded, so the first call had been cancelled before the first event was checked.

Evidence: TestPausedStreamsEndWhole with a second endpoint that begins anew or answers 404: no stream of six was whole, though the first endpoint goes on after 0.6 s. TestStreamIsResumedAfterWrongAnswer, where a third endpoint has the rest: "unexpected EOF" in both cases. Both fail before this change.

A sink now rejects an answer with endpoint.ErrWrongAnswer, and the call fails with WrongAnswer, which may be retried elsewhere. Each call knows the event it continues after, and its answer is taken only once the first event follows that one, so the other endpoint is waited for until then.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,10 +14,6 @@
 // is sent, so that another attempt can replace it.
 const maxBufferedBytes = 64 << 10
 
-// errResumeMismatch ends a resumed stream that does not continue directly after
-// the last forwarded event.
-var errResumeMismatch = errors.New("the resumed stream does not follow the last event")
-
 // answer writes the answer to one request. It is the sink of the request's
 // endpoint calls.
 type answer struct {
@@ -48,16 +43,12 @@
 	// longest time between two parts.
 	lastPartAt   time.Time
 	longestPause time.Duration
-	// resumeChecked is false until the first event of a resumed stream has been
-	// checked.
-	resumeChecked bool
 }
 
 // startAttempt prepares for the next attempt.
 func (a *answer) startAttempt(r *reservation) {
 	a.reservation = r
 	a.attemptBeganAt = time.Time{}
-	a.resumeChecked = a.lastEvent == ""
 	if !a.sent {
 		a.status = 0
 		a.buffered.Reset()
@@ -73,9 +64,6 @@
 // Head sets the status and the header of the answer.
 func (a *answer) Head(status int, header http.Header) error {
 	if a.sent {
-		if status != http.StatusOK {
-			return errResumeMismatch
-		}
 		return nil
 	}
 	a.status = status
@@ -108,13 +96,6 @@
 		a.onFirstEvent()
 	}
 	a.reservation.recordEvents(time.Now(), countEvents(p))
-	if !a.resumeChecked {
-		first := eventID(p)
-		if first != "" && !follows(a.lastEvent, first) {
-			return errResumeMismatch
-		}
-		a.resumeChecked = true
-	}
 	if id := lastEventID(p); id != "" {
 		a.lastEvent = id
 	}
--- /dev/null
+++ b/internal/edge/attemptcall.go
@@ -0,0 +1,115 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"oleanderramp/internal/balance"
+	"oleanderramp/internal/endpoint"
+)
+
+// errNotResumed rejects the answer of an endpoint that does not continue a stream
+// directly after the last forwarded event.
+var errNotResumed = fmt.Errorf("%w: it does not follow the last event", endpoint.ErrWrongAnswer)
+
+// attemptCall is a call of an attempt to one endpoint. It is the sink of the call.
+type attemptCall struct {
+	attempt   *attempt
+	placement placement
+	// resumesAfter is the ID of the last event that was forwarded before the call; empty
+	// if none was.
+	resumesAfter string
+	// resumed is true once the call's first event has followed that one.
+	resumed bool
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	// done is closed when the call has ended, with err.
+	done chan struct{}
+	err  *endpoint.CallError
+}
+
+func (a *attempt) newCall(p placement) *attemptCall {
+	ctx, cancel := context.WithCancelCause(a.ctx)
+	return &attemptCall{attempt: a, placement: p, resumesAfter: a.task.answer.lastEvent, ctx: ctx, cancel: cancel, done: make(chan struct{})}
+}
+
+// run makes the call and releases the endpoint's capacity.
+func (c *attemptCall) run(call endpoint.Call) {
+	defer close(c.done)
+	defer c.cancel(nil)
+	_, err := c.attempt.forwarder.cfg.Endpoints.Do(c.ctx, call, c)
+	if err != nil && !errors.As(err, &c.err) {
+		c.err = &endpoint.CallError{Kind: endpoint.ConnectionLost}
+	}
+	c.placement.reservation.end(time.Now(), c.outcome())
+}
+
+// outcome returns the outcome of the call as recorded for the endpoint.
+func (c *attemptCall) outcome() balance.Outcome {
+	if c.err == nil {
+		return balance.Answered
+	}
+	if c.err.Kind == endpoint.CallerGone && errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
+		return balance.Failed
+	}
+	return endpointOutcome(c.err)
+}
+
+// ended reports whether the call has ended.
+func (c *attemptCall) ended() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// claimUnlessRefused makes the call the one whose answer is forwarded, unless it has
+// ended.
+func (c *attemptCall) claimUnlessRefused() {
+	if !c.ended() {
+		c.attempt.claim(c)
+	}
+}
+
+// Head forwards the head of the answer. That of a resumed stream is only checked: the
+// caller has one, and the first event decides whether the stream is continued.
+func (c *attemptCall) Head(status int, header http.Header) error {
+	if c.resumesAfter != "" {
+		if status != http.StatusOK {
+			return errNotResumed
+		}
+		return nil
+	}
+	if !c.attempt.claim(c) {
+		return errOutpaced
+	}
+	return c.attempt.task.answer.Head(status, header)
+}
+
+// Data forwards the next bytes of the answer.
+func (c *attemptCall) Data(p []byte) error {
+	if !c.continuesStream(p) {
+		return errNotResumed
+	}
+	if !c.attempt.claim(c) {
+		return errOutpaced
+	}
+	return c.attempt.task.answer.Data(p)
+}
+
+// continuesStream reports whether the events directly follow the last one that the
+// caller has. Only the first event of a resumed stream is checked, and only if it has an
+// ID.
+func (c *attemptCall) continuesStream(events []byte) bool {
+	if c.resumesAfter == "" || c.resumed {
+		return true
+	}
+	first := eventID(events)
+	c.resumed = first == "" || follows(c.resumesAfter, first)
+	return c.resumed
+}
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -67,6 +67,8 @@
 		{"the other endpoint fails", status(http.StatusInternalServerError), 100},
 		{"the other endpoint closes its connections", abortConnection, 100},
 		{"the other endpoint pauses too", pausing(pause), 100},
+		{"the other endpoint begins anew", events(1, 3, true), 100},
+		{"the other endpoint does not know the stream", status(http.StatusNotFound), 100},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -42,7 +42,7 @@
 		return a.newError(TooLarge, fmt.Errorf("response of %d bytes exceeds the limit", response.ContentLength))
 	}
 	if err := a.sink.Head(response.StatusCode, forwardable(response.Header)); err != nil {
-		return a.newError(CallerGone, err)
+		return a.sinkError(err)
 	}
 	switch {
 	case stream && a.call.Raw:
@@ -69,6 +69,14 @@
 	return &CallError{Kind: kind, Status: a.result.Status, Reused: a.reused, sent: true, err: err}
 }
 
+// sinkError returns the error for a response that the sink did not take.
+func (a *attempt) sinkError(err error) *CallError {
+	if errors.Is(err, ErrWrongAnswer) {
+		return a.newError(WrongAnswer, err)
+	}
+	return a.newError(CallerGone, err)
+}
+
 func (a *attempt) checkRequestID(header http.Header) *CallError {
 	echo := header.Get(a.headers.Request)
 	if echo == a.call.RequestID || echo == "" && !a.call.RequireEcho {
@@ -155,7 +163,7 @@
 		return a.newError(TooLarge, fmt.Errorf("response exceeds %d bytes", a.call.MaxAnswerBytes))
 	}
 	if err := a.sink.Data(p); err != nil {
-		return a.newError(CallerGone, err)
+		return a.sinkError(err)
 	}
 	a.result.Bytes += int64(len(p))
 	return nil
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -64,8 +64,9 @@
 	Pooled bool
 }
 
-// Sink receives a response as it arrives. An error from a Sink means that the
-// caller has disconnected: the call is cancelled at the endpoint.
+// Sink receives a response as it arrives. An error from a Sink other than
+// ErrWrongAnswer means that the caller has disconnected: the call is cancelled at the
+// endpoint.
 type Sink interface {
 	// Head is called once, before Data, for a status below 500. The sink may
 	// keep and modify the header.
--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -6,6 +6,10 @@
 	"net/http"
 )
 
+// ErrWrongAnswer is the error with which a Sink rejects a response that is not what the
+// call asked for. Such a call fails with WrongAnswer.
+var ErrWrongAnswer = errors.New("wrong answer")
+
 // Kind classifies the failure of a call.
 type Kind int
 
@@ -26,8 +30,8 @@
 	// its end could not be detected.
 	Truncated
 	// WrongAnswer means that the response belongs to another request, is not a
-	// final response, or is an unmodified stream without the end of an event within
-	// ClientConfig.MaxEventBytes.
+	// final response, is an unmodified stream without the end of an event within
+	// ClientConfig.MaxEventBytes, or was rejected by the sink with ErrWrongAnswer.
 	WrongAnswer
 	// TooLarge means that the response exceeds Call.MaxAnswerBytes, or an event
 	// ClientConfig.MaxEventBytes.
