Exclude each failed endpoint once

What callers saw: a stream broke off, or a request was refused, after three endpoints though a fourth one could be reached: beside a crash of several endpoints, the next two refused the connection.

Cause: since an attempt has two calls, the failed endpoint is excluded where the call's end is recorded and once more where the retry is decided, so that the bound on excluded endpoints was reached after half as many.

TestUnreachableEndpointsArePassedOver passes on, and fails before this change with 503 where the fourth or fifth endpoint is the one that can be reached.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -123,7 +123,7 @@
 }
 
 // retryElsewhere reports whether to retry the request on another endpoint after
-// a failed attempt, and excludes the failed endpoint if so.
+// a failed attempt.
 func (f *Forwarder) retryElsewhere(ctx context.Context, t *task, p placement, err *endpoint.CallError) bool {
 	reason, ok := f.mayRetry(ctx, t, err)
 	fields := t.logFields()
@@ -131,7 +131,6 @@
 	fields["again"] = ok
 	event.RequestRetried.Log(f.cfg.Log, fields)
 	if ok {
-		t.excluded = append(t.excluded, p.choice.Endpoint.ID)
 		f.cfg.Metrics.CountRetry(t.service)
 	}
 	return ok
@@ -151,7 +150,7 @@
 	case t.answer.partlySent() && !t.answer.resumable():
 		return "answer_partly_passed", false
 	case err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent:
-		return "not_sent", len(t.excluded) < maxExcluded
+		return "not_sent", len(t.excluded) <= maxExcluded
 	case t.reachedEndpoints >= max(t.route.MaxAttempts, 1):
 		return "attempts_used_up", false
 	case !f.spendRetry(t.service):
@@ -161,8 +160,8 @@
 	}
 }
 
-// maxExcluded bounds the number of endpoints that are tried for a request that
-// could not be sent.
+// maxExcluded bounds the number of failed endpoints after which a request that could
+// not be sent is tried at another one.
 const maxExcluded = 4
 
 // placementFailed returns the failure of a request for which no endpoint was
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -394,6 +394,29 @@
 	}
 }
 
+// TestUnreachableEndpointsArePassedOver guards against a request that is given up after
+// fewer unreachable endpoints than may be tried.
+func TestUnreachableEndpointsArePassedOver(t *testing.T) {
+	const endpoints = 5
+	for reachable := range endpoints {
+		t.Run(fmt.Sprint("reachable ", reachable), func(t *testing.T) {
+			c := qt.New(t)
+			var all []*fakeEndpoint
+			for i := range endpoints {
+				e := newEndpoint(c, ok("a"))
+				if i != reachable {
+					e.server.Close()
+				}
+				all = append(all, e)
+			}
+			response, body, err := newSite(c, all...).ask(c, "POST", "/unsafe/", "x", nil)
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, http.StatusOK)
+			c.Check(body, qt.Equals, "a")
+		})
+	}
+}
+
 // TestStreamIsResumedAfterWrongAnswer guards against a stream that ends although another
 // endpoint can continue it, because the endpoint before did not.
 func TestStreamIsResumedAfterWrongAnswer(t *testing.T) {
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -125,7 +125,8 @@
 	deadline  time.Time
 	// reachedEndpoints counts the endpoints that the request was sent to.
 	reachedEndpoints int
-	excluded         []string
+	// excluded holds the IDs of the endpoints that have failed, each once.
+	excluded []string
 	// mayHaveRun is true once an endpoint may have begun to run the request.
 	mayHaveRun bool
 	// answer is the answer sent to the caller so far.
