Give a silent call up only once the other endpoint answers

What callers saw: a stream broke off or came too late although its endpoint went on after a pause: the second endpoint had taken it, and then crashed, hung or fell silent itself.

Cause: the second endpoint of a stream was taken as sure when it had not refused within 250 ms, also if it had sent nothing. The first call was cancelled then.

Now the first answer decides: the head of an answer, or the first event of a resumed stream, which cancels the other call at once. Both endpoints work on the stream until then.

--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -68,14 +68,6 @@
 	}
 }
 
-// claimUnlessRefused makes the call the one whose answer is forwarded, unless it has
-// ended.
-func (c *attemptCall) claimUnlessRefused() {
-	if !c.ended() {
-		c.attempt.claim(c)
-	}
-}
-
 // Head forwards the head of the answer. That of a resumed stream is only checked: the
 // caller has one, and the first event decides whether the stream is continued.
 func (c *attemptCall) Head(status int, header http.Header) error {
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -11,10 +11,6 @@
 	"oleanderramp/internal/event"
 )
 
-// refusalWait is how long after a stream was sent to a second endpoint that one may
-// refuse it before the first is cancelled. Both must not run the stream for long.
-const refusalWait = 250 * time.Millisecond
-
 // errOutpaced is the cause with which a call is cancelled because the other endpoint of
 // its attempt answered first.
 var errOutpaced = errors.New("another endpoint answered first")
@@ -81,9 +77,6 @@
 	second := a.newCall(p)
 	call := a.forwarder.call(now, a.task, p)
 	call.OnSilence = func(time.Duration) {} // There is no third endpoint to wait for.
-	if a.task.isStream() {
-		call.OnSent = func() { time.AfterFunc(refusalWait, second.claimUnlessRefused) }
-	}
 	a.mu.Lock()
 	a.second = second
 	a.mu.Unlock()
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -67,6 +67,7 @@
 		{"the other endpoint fails", status(http.StatusInternalServerError), 100},
 		{"the other endpoint closes its connections", abortConnection, 100},
 		{"the other endpoint pauses too", pausing(pause), 100},
+		{"the other endpoint fails later", late(pause, abortConnection), 100},
 		{"the other endpoint begins anew", events(1, 3, true), 100},
 		{"the other endpoint does not know the stream", status(http.StatusNotFound), 100},
 	}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -56,8 +56,6 @@
 	// cancelled with the cause ErrSilent. If OnSilence is nil, the call ends. While it
 	// runs, no method of the sink does.
 	OnSilence func(silent time.Duration)
-	// OnSent is called once the request has been written to a connection. Optional.
-	OnSent func()
 	// Pooled lets a call that is not idempotent use an idle connection. If the
 	// endpoint closes that connection at the same moment, it is unknown whether
 	// the call ran.
@@ -229,13 +227,6 @@
 	a.reused = info.Reused
 }
 
-// wroteRequest reports that the request has been sent.
-func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
-	if a.call.OnSent != nil && info.Err == nil {
-		a.call.OnSent()
-	}
-}
-
 // abandonedConn describes the connection of a call that was given up.
 type abandonedConn struct {
 	// connected reports whether there was a connection, and reused whether it
--- a/internal/endpoint/request.go
+++ b/internal/endpoint/request.go
@@ -18,7 +18,7 @@
 	if !a.call.Raw {
 		target += a.call.Path
 	}
-	trace := &httptrace.ClientTrace{GotConn: a.gotConn, WroteRequest: a.wroteRequest}
+	trace := &httptrace.ClientTrace{GotConn: a.gotConn}
 	ctx := httptrace.WithClientTrace(a.ctx, trace)
 	request, err := http.NewRequestWithContext(ctx, a.call.Method, target, nil)
 	if err != nil {
