--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -10,12 +11,21 @@
 	"oleanderramp/internal/endpoint"
 )
 
+// errNotResumed rejects the answer of an endpoint that does not continue a stream
+// directly after the last forwarded event.
+var errNotResumed = fmt.Errorf("%w: it does not follow the last event", endpoint.ErrWrongAnswer)
+
 // attemptCall is a call of an attempt to one endpoint. It is the sink of the call.
 type attemptCall struct {
 	attempt   *attempt
 	placement placement
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
+	// resumesAfter is the ID of the last event that was forwarded before the call; empty
+	// if none was.
+	resumesAfter string
+	// resumed is true once the call's first event has followed that one.
+	resumed bool
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
 	// sentAt is when the call was begun, and beganAt when the first bytes of the answer
 	// arrived; zero before that.
 	sentAt, beganAt time.Time
@@ -26,7 +36,9 @@
 
 func (a *attempt) newCall(now time.Time, p placement) *attemptCall {
 	ctx, cancel := context.WithCancelCause(a.ctx)
-	return &attemptCall{attempt: a, placement: p, ctx: ctx, cancel: cancel, sentAt: now, done: make(chan struct{})}
+	return &attemptCall{
+		attempt: a, placement: p, resumesAfter: a.task.answer.lastEvent, ctx: ctx, cancel: cancel, sentAt: now, done: make(chan struct{}),
+	}
 }
 
 // run makes the call and releases the endpoint's capacity.
@@ -80,16 +92,15 @@
 	}
 }
 
-// claimUnlessRefused makes the call the one whose answer is forwarded, unless it has
-// ended.
-func (c *attemptCall) claimUnlessRefused() {
-	if !c.ended() {
-		c.attempt.claim(c)
-	}
-}
-
-// Head forwards the head of the answer.
+// Head forwards the head of the answer. That of a resumed stream is only checked: the
+// caller has one, and the first event decides whether the stream is continued.
 func (c *attemptCall) Head(status int, header http.Header) error {
+	if c.resumesAfter != "" {
+		if status != http.StatusOK {
+			return errNotResumed
+		}
+		return nil
+	}
 	if !c.attempt.claim(c) {
 		return errOutpaced
 	}
@@ -98,11 +109,26 @@
 
 // Data forwards the next bytes of the answer.
 func (c *attemptCall) Data(p []byte) error {
-	if !c.attempt.claim(c) {
-		return errOutpaced
-	}
 	if c.beganAt.IsZero() {
 		c.beganAt = time.Now()
 	}
+	if !c.continuesStream(p) {
+		return errNotResumed
+	}
+	if !c.attempt.claim(c) {
+		return errOutpaced
+	}
 	return c.attempt.task.answer.Data(p)
 }
+
+// continuesStream reports whether the events directly follow the last one that the
+// caller has. Only the first event of a resumed stream is checked, and only if it has an
+// ID.
+func (c *attemptCall) continuesStream(events []byte) bool {
+	if c.resumesAfter == "" || c.resumed {
+		return true
+	}
+	first := eventID(events)
+	c.resumed = first == "" || follows(c.resumesAfter, first)
+	return c.resumed
+}
