Count each endpoint of a request once, and let it go back to one that it reached

What callers would see: a stream broke with its endpoint though its second one would have gone on. A pause had sent the request there and the first had gone on before the second answered; that had used up the attempts of the route, and the second was excluded like one that fails.

The route bounds the endpoints that a request reaches. They are now counted each once, one that was merely outpaced is not excluded, and when no further endpoint may be reached the request may still go to one of them.

--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"oleanderramp/internal/directory"
 )
@@ -35,13 +34,6 @@
 	return d.Seed
 }
 
-// Serves reports whether any endpoint may run the request, with or without capacity
-// for it now.
-func (b *Balancer) Serves(now time.Time, d Demand) bool {
-	s := b.services[d.Service]
-	return s != nil && slices.ContainsFunc(s.endpoints, func(e *endpoint) bool { return !e.down(now) && d.allows(e.entry) })
-}
-
 // groups returns the endpoints of the service in the groups in which they are
 // compared: all at once if there are few. Otherwise the groups follow the order of
 // preference for the key, by rendezvous hashing. Endpoints of the region come first
--- a/internal/balance/demand.go
+++ b/internal/balance/demand.go
@@ -42,12 +42,17 @@
 	Software *string
 	// Excluded lists the IDs of endpoints that must not be chosen.
 	Excluded []string
+	// Only lists the IDs of the endpoints that may be chosen; nil for all.
+	Only []string
 	// Seed spreads demands without prompt parts over the endpoints.
 	Seed uint64
 }
 
 // allows reports whether the request may run on the endpoint.
 func (d Demand) allows(e directory.Entry) bool {
+	if d.Only != nil && !slices.Contains(d.Only, e.ID) {
+		return false
+	}
 	return !slices.Contains(d.Excluded, e.ID) && (d.Software == nil || e.Software == *d.Software)
 }
 
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"oleanderramp/internal/balance"
@@ -49,7 +50,7 @@
 func (f *Forwarder) place(ctx context.Context, t *task, isRetry bool) (placement, *failure) {
 	now := time.Now()
 	wanted := placementRequest{
-		demand: t.demand(), account: t.account,
+		demand: t.demand(""), account: t.account,
 		objective: t.objective.Sub(now), timeLeft: t.deadline.Sub(now), begun: isRetry || t.resumesStream(), tokens: t.tokens(),
 	}
 	if isRetry {
@@ -64,7 +65,7 @@
 		return placed, refused
 	}
 	t.usePlacement(time.Now(), placed)
-	f.logPlacement(t, placed, t.reachedEndpoints+1)
+	f.logPlacement(t, placed, len(t.reached)+1)
 	t.placementFields = nil
 	return placed, nil
 }
@@ -86,15 +87,30 @@
 	event.RequestRouted.Log(f.cfg.Log, fields)
 }
 
-// demand returns what the request needs of an endpoint.
-func (t *task) demand() balance.Demand {
+// demand returns what the request needs of an endpoint beside the one at which it is
+// now, whose ID is "" if there is none.
+func (t *task) demand(current string) balance.Demand {
 	d := balance.Demand{Service: t.service, Prompt: t.request.Prompt, Excluded: t.excluded, Seed: requestHash(t.request.ID)}
 	if t.origin != nil {
 		d.Software = &t.origin.Software
 	}
+	reached := t.reached
+	if current != "" {
+		d.Excluded = append(slices.Clone(t.excluded), current)
+		reached = append(slices.Clone(t.reached), current)
+	}
+	if len(reached) >= max(t.route.MaxAttempts, 1) {
+		d.Only = slices.DeleteFunc(slices.Clone(reached), func(id string) bool { return slices.Contains(d.Excluded, id) })
+	}
 	return d
 }
 
+// attemptsUsedUp reports whether no endpoint is left to which the request may be sent.
+func (t *task) attemptsUsedUp() bool {
+	only := t.demand("").Only
+	return only != nil && len(only) == 0
+}
+
 // shareFields returns the log fields of an account's share. An account without
 // competitors has no spare_tokens, as nothing bounds it.
 func shareFields(s share.Share) event.Fields {
@@ -127,7 +143,7 @@
 func (f *Forwarder) retryElsewhere(ctx context.Context, t *task, p placement, err *endpoint.CallError) bool {
 	reason, ok := f.mayRetry(ctx, t, err)
 	fields := t.logFields()
-	fields["endpoint"], fields["attempt"], fields["error"], fields["reason"] = p.choice.Endpoint.ID, t.reachedEndpoints, err.Error(), reason
+	fields["endpoint"], fields["attempt"], fields["error"], fields["reason"] = p.choice.Endpoint.ID, len(t.reached), err.Error(), reason
 	fields["again"] = ok
 	event.RequestRetried.Log(f.cfg.Log, fields)
 	if ok {
@@ -151,7 +167,7 @@
 		return "answer_partly_passed", false
 	case err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent:
 		return "not_sent", len(t.excluded) <= maxExcluded
-	case t.reachedEndpoints >= max(t.route.MaxAttempts, 1):
+	case t.attemptsUsedUp():
 		return "attempts_used_up", false
 	case !f.spendRetry(t.service):
 		return "retry_budget_used_up", false
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -123,9 +123,10 @@
 	// earlier of the caller's and the route's deadline.
 	objective time.Time
 	deadline  time.Time
-	// reachedEndpoints counts the endpoints that the request was sent to.
-	reachedEndpoints int
-	// excluded holds the IDs of the endpoints that have failed, each once.
+	// reached holds the IDs of the endpoints that the request was sent to, each once.
+	reached []string
+	// excluded holds the IDs of the endpoints that have failed, each once. The request
+	// is not sent to them again.
 	excluded []string
 	// mayHaveRun is true once an endpoint may have begun to run the request.
 	mayHaveRun bool
@@ -221,7 +222,7 @@
 // endFields returns the log fields of the end of a request.
 func (t *task) endFields(took time.Duration) event.Fields {
 	fields := t.logFields()
-	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), t.reachedEndpoints, t.answer.sent
+	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), len(t.reached), t.answer.sent
 	if t.answer.sent {
 		fields["longest_pause_ms"] = t.answer.longestPause.Milliseconds()
 	}
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -63,10 +63,10 @@
 // endpoint, so that it may use the task.
 func (a *attempt) hedge(silent time.Duration) {
 	now := time.Now()
-	if !a.dropFinished() || a.task.deadline.Sub(now) < minAttemptTime {
+	if !a.dropSecond() || a.task.deadline.Sub(now) < minAttemptTime {
 		return
 	}
-	p, reason := a.forwarder.placeHedge(now, a.task, a.first.placement)
+	p, reason := a.forwarder.placeHedge(now, a.task, a.first.placement.choice.Endpoint.ID)
 	if reason != a.skipReason || reason == "" {
 		a.logSilence(silent, p, reason)
 	}
@@ -83,9 +83,9 @@
 	go second.run(call)
 }
 
-// dropFinished drops a second call that has ended without an answer. It reports whether
-// there is now none, and the attempt is still undecided.
-func (a *attempt) dropFinished() bool {
+// dropSecond drops a second call that has ended without being forwarded. It reports
+// whether there is now none.
+func (a *attempt) dropSecond() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.second == nil {
@@ -99,7 +99,9 @@
 	return true
 }
 
-// claim makes the call's answer the one that is forwarded, unless the other call's is.
+// claim makes the call's answer the one that is forwarded, and reports whether it is:
+// without a second call it always is, otherwise that of the call that claims first. The
+// other call is cancelled.
 func (a *attempt) claim(call *attemptCall) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -145,10 +147,10 @@
 	}
 	last, other := a.winner, second
 	a.mu.Unlock()
+	<-second.done
 	if last == second {
 		other = a.first
 	}
-	<-second.done
 	a.record(other)
 	a.record(last)
 	return last
@@ -160,11 +162,13 @@
 	if err == nil {
 		return
 	}
-	if err.Kind != endpoint.DialFailed && err.Kind != endpoint.NotSent {
-		t.reachedEndpoints++
+	id := call.placement.choice.Endpoint.ID
+	notSent := err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent
+	if !notSent && !slices.Contains(t.reached, id) {
+		t.reached = append(t.reached, id)
 	}
 	t.mayHaveRun = t.mayHaveRun || err.MayHaveRun()
-	if id := call.placement.choice.Endpoint.ID; !slices.Contains(t.excluded, id) {
+	if !errors.Is(err, errOutpaced) && !slices.Contains(t.excluded, id) {
 		t.excluded = append(t.excluded, id)
 	}
 }
@@ -177,25 +181,26 @@
 	fields["hedged"], fields["reason"] = reason == "", reason
 	event.EndpointSilent.Log(a.forwarder.cfg.Log, fields)
 	if reason == "" {
-		a.forwarder.logPlacement(a.task, p, a.task.reachedEndpoints+2)
+		a.forwarder.logPlacement(a.task, p, len(a.task.reached)+2)
 	}
 }
 
 // placeHedge reserves an endpoint for the request beside the one that is silent, or
 // returns the reason why not.
-func (f *Forwarder) placeHedge(now time.Time, t *task, silent placement) (placement, string) {
+func (f *Forwarder) placeHedge(now time.Time, t *task, silent string) (placement, string) {
+	demand := t.demand(silent)
 	switch {
 	case t.answer.partlySent() && !t.answer.resumable():
 		return placement{}, "answer_partly_passed"
-	case t.reachedEndpoints+1 >= max(t.route.MaxAttempts, 1):
+	case demand.Only != nil && len(demand.Only) == 0:
 		return placement{}, "attempts_used_up"
 	case !f.spendRetry(t.service):
 		return placement{}, "retry_budget_used_up"
 	}
 	left := t.deadline.Sub(now)
-	wanted := placementRequest{demand: t.demand(), account: t.account, objective: left, timeLeft: left, begun: true, tokens: t.tokens()}
-	wanted.demand.Excluded = append(slices.Clone(t.excluded), silent.choice.Endpoint.ID)
-	p, refused := f.cfg.Admission.placeNow(now, wanted)
+	p, refused := f.cfg.Admission.placeNow(now, placementRequest{
+		demand: demand, account: t.account, objective: left, timeLeft: left, begun: true, tokens: t.tokens(),
+	})
 	if refused != "" {
 		f.refundRetry(t.service)
 		return placement{}, string(refused)
