Hold an answer back until its endpoint is sure to be the better one

What callers saw, in tests: a paused stream, or a late answer, broke off although its endpoint went on, because the second endpoint had sent a header, a part of a short answer, or a status such as 429, and then failed or was of no use.

Cause: the header decided which of two endpoints answers, and cancelled the call to the other. Now an event decides for streams, and the complete answer, or more of it than is buffered, for others; an error status of the second endpoint does not while the first may answer. A stream that is complete with no further event ends. If the first fails with its own error response and the second fails too, the first one's is forwarded. A call that was cancelled while it still dialled no longer counts as an endpoint that can't be reached.

TestSecondEndpointDoesNotEndAnswer (header, status 429, part of a body) and TestErrorOfFirstEndpointIsForwarded failed before.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -14,8 +14,7 @@
 // is sent, so that another attempt can replace it.
 const maxBufferedBytes = 64 << 10
 
-// answer writes the answer to one request. It is the sink of the request's
-// endpoint calls.
+// answer writes the answer to one request.
 type answer struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
@@ -57,10 +56,10 @@
 // resumable reports whether the answer may be continued by another endpoint.
 func (a *answer) resumable() bool { return a.resumableRoute && a.lastEvent != "" }
 
-// Head sets the status and the header of the answer.
-func (a *answer) Head(status int, header http.Header) error {
+// setHead sets the status and the header of the answer, unless a part of it was sent.
+func (a *answer) setHead(status int, header http.Header) {
 	if a.sent {
-		return nil
+		return
 	}
 	a.status = status
 	target := a.w.Header()
@@ -75,11 +74,10 @@
 	if a.closeConnection {
 		target.Set("Connection", "close")
 	}
-	return nil
 }
 
-// Data forwards the next bytes.
-func (a *answer) Data(p []byte) error {
+// write forwards the next bytes.
+func (a *answer) write(p []byte) error {
 	a.recordPart(time.Now())
 	if !a.stream {
 		a.buffered.Write(p)
@@ -141,7 +139,7 @@
 
 // useEndpointError makes the endpoint's own error response the answer.
 func (a *answer) useEndpointError(err *endpoint.CallError) {
-	_ = a.Head(err.Status, err.Header) // Head does not fail before a byte is sent.
+	a.setHead(err.Status, err.Header)
 	a.buffered.Reset()
 	a.buffered.Write(err.Body)
 }
--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -15,6 +16,10 @@
 // directly after the last forwarded event.
 var errNotResumed = fmt.Errorf("%w: it does not follow the last event", endpoint.ErrWrongAnswer)
 
+// errRejected rejects the error response of a second endpoint while the first may still
+// answer.
+var errRejected = fmt.Errorf("%w: the first endpoint may still answer", endpoint.ErrWrongAnswer)
+
 // attemptCall is a call of an attempt to one endpoint. It is the sink of the call.
 type attemptCall struct {
 	attempt   *attempt
@@ -29,6 +34,11 @@
 	// sentAt is when the call was begun, and beganAt when the first bytes of the answer
 	// arrived; zero before that.
 	sentAt, beganAt time.Time
+	// status and header are those of the answer; header is nil before and once they are
+	// forwarded. held is the part of the body that is not forwarded yet.
+	status int
+	header http.Header
+	held   bytes.Buffer
 	// done is closed when the call has ended, with err.
 	done chan struct{}
 	err  *endpoint.CallError
@@ -46,14 +56,22 @@
 	defer close(c.done)
 	defer c.cancel(nil)
 	_, err := c.attempt.forwarder.cfg.Endpoints.Do(c.ctx, call, c)
+	if err == nil {
+		err = c.forward(nil)
+	}
 	if err != nil && !errors.As(err, &c.err) {
-		c.err = &endpoint.CallError{Kind: endpoint.ConnectionLost}
+		c.err = endpoint.NewCallError(endpoint.CallerGone, err)
 	}
-	c.recordEndpoint(time.Now())
+	c.recordAtEndpoint(time.Now())
+}
+
+// outpaced reports whether the call was cancelled because the other one answered.
+func (c *attemptCall) outpaced() bool {
+	return c.err != nil && (errors.Is(c.err, errOutpaced) || errors.Is(context.Cause(c.ctx), endpoint.ErrSilent))
 }
 
-// recordEndpoint records what the end of the call says about the endpoint.
-func (c *attemptCall) recordEndpoint(now time.Time) {
+// recordAtEndpoint records what the end of the call says about the endpoint.
+func (c *attemptCall) recordAtEndpoint(now time.Time) {
 	c.placement.reservation.end(now, c.outcome())
 	crashes := c.attempt.forwarder.crashes
 	if c.err == nil {
@@ -64,6 +82,9 @@
 	case endpoint.ConnectionLost, endpoint.Truncated:
 		c.recordLost(now)
 	case endpoint.DialFailed:
+		if c.outpaced() {
+			return
+		}
 		crashes.recordUnreachable(now, c.placement.choice.Endpoint.ID)
 	}
 }
@@ -79,6 +100,9 @@
 	if c.err.Kind == endpoint.CallerGone && errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
 		return balance.Failed
 	}
+	if c.err.Kind == endpoint.DialFailed && c.outpaced() {
+		return balance.Abandoned
+	}
 	return endpointOutcome(c.err)
 }
 
@@ -92,8 +116,8 @@
 	}
 }
 
-// Head forwards the head of the answer. That of a resumed stream is only checked: the
-// caller has one, and the first event decides whether the stream is continued.
+// Head takes the head of the answer. It decides nothing yet: an endpoint that has sent
+// no more may still fail.
 func (c *attemptCall) Head(status int, header http.Header) error {
 	if c.resumesAfter != "" {
 		if status != http.StatusOK {
@@ -101,13 +125,15 @@
 		}
 		return nil
 	}
-	if !c.attempt.claim(c) {
-		return errOutpaced
+	if status >= http.StatusBadRequest && c.attempt.mayOutpace(c) {
+		return errRejected
 	}
-	return c.attempt.task.answer.Head(status, header)
+	c.status, c.header = status, header
+	return nil
 }
 
-// Data forwards the next bytes of the answer.
+// Data takes the next bytes of the answer. Events are forwarded at once; other answers
+// are held back until they are complete or exceed maxBufferedBytes.
 func (c *attemptCall) Data(p []byte) error {
 	if c.beganAt.IsZero() {
 		c.beganAt = time.Now()
@@ -115,10 +141,30 @@
 	if !c.continuesStream(p) {
 		return errNotResumed
 	}
+	if !c.attempt.task.isStream() && c.held.Len()+len(p) <= maxBufferedBytes {
+		c.held.Write(p)
+		return nil
+	}
+	return c.forward(p)
+}
+
+// forward makes the call's answer the one that is forwarded, and forwards what was held
+// back and p. It returns errOutpaced if the other call's answer is.
+func (c *attemptCall) forward(p []byte) error {
 	if !c.attempt.claim(c) {
 		return errOutpaced
 	}
-	return c.attempt.task.answer.Data(p)
+	a := c.attempt.task.answer
+	if c.header != nil {
+		a.setHead(c.status, c.header)
+		c.header = nil
+	}
+	c.held.Write(p)
+	if c.held.Len() == 0 {
+		return nil
+	}
+	defer c.held.Reset()
+	return a.write(c.held.Bytes())
 }
 
 // continuesStream reports whether the events directly follow the last one that the
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -99,6 +99,13 @@
 	return true
 }
 
+// mayOutpace reports whether the call is a second one, while the first may still answer.
+func (a *attempt) mayOutpace(call *attemptCall) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return call == a.second && a.winner == nil
+}
+
 // claim makes the call's answer the one that is forwarded, and reports whether it is:
 // without a second call it always is, otherwise that of the call that claims first. The
 // other call is cancelled.
@@ -151,6 +158,9 @@
 	if last == second {
 		other = a.first
 	}
+	if last == second && second.err != nil && a.first.err.Kind == endpoint.EndpointError {
+		last, other = a.first, second // The first's error response is an answer.
+	}
 	a.record(other)
 	a.record(last)
 	return last
@@ -168,7 +178,7 @@
 		t.reached = append(t.reached, id)
 	}
 	t.mayHaveRun = t.mayHaveRun || err.MayHaveRun()
-	if !errors.Is(err, errOutpaced) && !slices.Contains(t.excluded, id) {
+	if !call.outpaced() && !slices.Contains(t.excluded, id) {
 		t.excluded = append(t.excluded, id)
 	}
 }
--- a/internal/edge/hedge_test.go
+++ b/internal/edge/hedge_test.go
@@ -35,6 +35,57 @@
 	}
 }
 
+// TestSecondEndpointDoesNotEndAnswer guards against giving the first endpoint up for a
+// second one that has sent a part of an answer, or another status, and then fails.
+func TestSecondEndpointDoesNotEndAnswer(t *testing.T) {
+	tests := []struct {
+		name, route   string
+		first, second http.HandlerFunc
+		want          string
+	}{
+		{"header of a stream", "resumable", pausing(500 * time.Millisecond), flushed("text/event-stream", ""), completeStream(1, 3)},
+		{"event cut short", "resumable", pausing(500 * time.Millisecond), flushed("text/event-stream", "id: 2\nda"), completeStream(1, 3)},
+		{"status 429", "resumable", pausing(500 * time.Millisecond), status(http.StatusTooManyRequests), completeStream(1, 3)},
+		{"the whole stream", "resumable", late(500*time.Millisecond, events(1, 3, true)), events(1, 3, true), completeStream(1, 3)},
+		{"part of a body", "safe", late(500*time.Millisecond, ok("a")), flushed("text/plain", "part"), "a"},
+		{"status 429, not a stream", "safe", late(500*time.Millisecond, ok("a")), status(http.StatusTooManyRequests), "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := newSite(c, newEndpoint(c, test.first), newEndpoint(c, test.second))
+			s.setRoute(c, test.route, func(r *routing.Route) { r.MaxEventGap, r.Objective = 50*time.Millisecond, 50*time.Millisecond })
+			response, body, err := s.ask(c, "POST", "/"+test.route+"/", "x", map[string]string{"Oleanderramp-Key": "secret"})
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, http.StatusOK)
+			c.Check(body, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestEndOfPausedStreamIsTakenFromEither guards against a stream that is not ended
+// because only its end is late, and the second endpoint has nothing left to send.
+func TestEndOfPausedStreamIsTakenFromEither(t *testing.T) {
+	c := qt.New(t)
+	released := make(chan struct{})
+	withoutEnd := func(w http.ResponseWriter, r *http.Request) {
+		events(1, 3, true)(w, r)
+		select {
+		case <-released:
+		case <-r.Context().Done():
+		}
+	}
+	second := newEndpoint(c, events(4, 3, true))
+	s := newSite(c, newEndpoint(c, withoutEnd), second)
+	defer close(released)
+	s.setRoute(c, "resumable", func(r *routing.Route) { r.MaxEventGap = 50 * time.Millisecond })
+	_, body, err := s.ask(c, "POST", "/resumable/", "x", map[string]string{"Oleanderramp-Key": "secret"})
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, completeStream(1, 3))
+	c.Check(second.seen(), qt.HasLen, 1)
+}
+
 // TestStreamMovesAfterPauses guards against a stream that breaks with its endpoint
 // because a former pause has used up its attempts, though its second endpoint, which was
 // not needed then, would go on. Not more endpoints than the route allows get it.
@@ -60,3 +111,15 @@
 	}
 	c.Check(reached, qt.Equals, 2)
 }
+
+// TestErrorOfFirstEndpointIsForwarded guards against a failure without the endpoint's own
+// error response, because a second endpoint refused the request.
+func TestErrorOfFirstEndpointIsForwarded(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(c, newEndpoint(c, late(200*time.Millisecond, status(http.StatusInternalServerError))), newEndpoint(c, notRun))
+	s.setRoute(c, "safe", func(r *routing.Route) { r.Objective = 50 * time.Millisecond })
+	response, body, err := s.ask(c, "POST", "/safe/", "x", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(response.StatusCode, qt.Equals, http.StatusInternalServerError)
+	c.Check(body, qt.Equals, "endpoint error")
+}
--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -112,6 +112,11 @@
 	err  error
 }
 
+// NewCallError returns the error of a call whose request was sent.
+func NewCallError(kind Kind, err error) *CallError {
+	return &CallError{Kind: kind, sent: true, err: err}
+}
+
 func (e *CallError) Error() string {
 	text := "endpoint call: " + e.Kind.String()
 	if e.Status != 0 {
