Charge no retry for a second endpoint that can't be reached

What callers would see: a request whose endpoint really fails gets no retry, as the budget was spent on hedges to an endpoint that is listed and accepts no connection; a request that was not sent is free elsewhere. The retry is now refunded, and it is charged only once a place was found, so that a search for one does not lower the budget for others meanwhile. TestHedgeThatReachesNobodyCostsNoRetry failed before.

--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -88,6 +88,13 @@
 	return f.budget.Spend(service)
 }
 
+// hasRetry reports whether a retry may be spent.
+func (f *Forwarder) hasRetry(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Budget(service) >= 1
+}
+
 // refundRetry returns a retry that was spent and not used.
 func (f *Forwarder) refundRetry(service string) {
 	f.mu.Lock()
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"oleanderramp/internal/balance"
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
 )
@@ -174,6 +175,9 @@
 	}
 	id := call.placement.choice.Endpoint.ID
 	notSent := err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent
+	if notSent && call != a.first {
+		a.forwarder.refundRetry(t.service)
+	}
 	if !notSent && !slices.Contains(t.reached, id) {
 		t.reached = append(t.reached, id)
 	}
@@ -204,7 +208,7 @@
 		return placement{}, "answer_partly_passed"
 	case demand.Only != nil && len(demand.Only) == 0:
 		return placement{}, "attempts_used_up"
-	case !f.spendRetry(t.service):
+	case !f.hasRetry(t.service):
 		return placement{}, "retry_budget_used_up"
 	}
 	left := t.deadline.Sub(now)
@@ -212,9 +216,12 @@
 		demand: demand, account: t.account, objective: left, timeLeft: left, begun: true, tokens: t.tokens(),
 	})
 	if refused != "" {
-		f.refundRetry(t.service)
 		return placement{}, string(refused)
 	}
+	if !f.spendRetry(t.service) {
+		p.reservation.end(now, balance.Abandoned)
+		return placement{}, "retry_budget_used_up"
+	}
 	f.cfg.Metrics.CountRetry(t.service)
 	return p, ""
 }
--- a/internal/edge/hedge_test.go
+++ b/internal/edge/hedge_test.go
@@ -4,11 +4,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"oleanderramp/internal/directory"
 	"oleanderramp/pkg/routing"
 )
 
@@ -86,6 +88,37 @@
 	c.Check(second.seen(), qt.HasLen, 1)
 }
 
+// TestHedgeThatReachesNobodyCostsNoRetry guards against a retry budget that is spent on
+// second endpoints that accept no connection, so that a request whose endpoint really
+// fails gets none.
+func TestHedgeThatReachesNobodyCostsNoRetry(t *testing.T) {
+	c := qt.New(t)
+	dead, live := newEndpoint(c, ok("dead")), newEndpoint(c, ok("live"))
+	dead.server.Close()
+	var calls atomic.Int64
+	first := newEndpoint(c, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			abortConnection(w, r)
+		}
+		late(400*time.Millisecond, ok("a"))(w, r)
+	})
+	s := newSite(c, first, dead)
+	s.setRoute(c, "safe", func(r *routing.Route) { r.Objective = 50 * time.Millisecond })
+	s.forwarder.SetRetryBudget(0, 1)
+	_, body, err := s.ask(c, "POST", "/safe/", "x", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "a")
+
+	s.setRoute(c, "safe", func(*routing.Route) {})
+	s.setEndpoints([]directory.Entry{
+		{ID: "e0", Service: "s", Address: first.address(), Region: "r", Slots: 10, LastSeen: time.Now()},
+		{ID: "live", Service: "s", Address: live.address(), Region: "other", Slots: 10, LastSeen: time.Now()},
+	})
+	_, body, err = s.ask(c, "POST", "/safe/", "x", nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, "live")
+}
+
 // TestStreamMovesAfterPauses guards against a stream that breaks with its endpoint
 // because a former pause has used up its attempts, though its second endpoint, which was
 // not needed then, would go on. Not more endpoints than the route allows get it.
