Avoid idle connections to an endpoint after a deadline in silence

A call that its silent endpoint no longer ends lasts until its deadline, and then said nothing of its connection: the next calls used others that were idle and may be silent for good as well. Now silence up to the end of a call counts, however it ends. TestPoolBypassedAfterDeadlineInSilence failed before. Found in review.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -24,10 +24,11 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// ProgressTimeout is the maximum time between two bytes of the response.
+	// ProgressTimeout is the maximum time between two bytes of the response, unless
+	// OnSilence is set.
 	ProgressTimeout time.Duration
 	// HeaderTimeout is the maximum time until the response begins, including
-	// the dial.
+	// the dial, unless OnSilence is set.
 	HeaderTimeout time.Duration
 	// MaxAnswerBytes is the maximum size of the response body.
 	MaxAnswerBytes int64
@@ -109,7 +110,7 @@
 		return a.result, nil
 	}
 	if call.Raw {
-		c.bypassPoolIfSilent(call, err)
+		c.bypassPoolIfSilent(a, err)
 	} else {
 		c.handleFailure(ctx, call, a, err)
 	}
@@ -143,7 +144,7 @@
 	case Silent, ConnectionLost, Truncated:
 		err.Health = c.health(context.WithoutCancel(ctx), call.Address, call.Incarnation)
 	}
-	c.bypassPoolIfSilent(call, err)
+	c.bypassPoolIfSilent(a, err)
 	unwanted := err.Kind == TooLarge || err.Kind == CallerGone && err.sent
 	if unwanted && call.Stream {
 		c.Cancel(call)
@@ -151,10 +152,10 @@
 }
 
 // bypassPoolIfSilent stops using the idle connections to an endpoint after a
-// call on a reused connection timed out.
-func (c *Client) bypassPoolIfSilent(call Call, err *CallError) {
-	if err.Kind == Silent && err.Reused {
-		c.bypassPool(call.Address)
+// call on a reused connection ended while the endpoint was silent.
+func (c *Client) bypassPoolIfSilent(a *attempt, err *CallError) {
+	if err.Reused && a.silence.wasSilent() {
+		c.bypassPool(a.call.Address)
 	}
 }
 
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http"
 	"strings"
@@ -282,6 +283,27 @@
 	qt.Check(t, err, qt.IsNil)
 }
 
+// TestPoolBypassedAfterDeadlineInSilence guards against further calls on connections that
+// are silent for good, because a call that is not ended by the silence lasts until its
+// deadline.
+func TestPoolBypassedAfterDeadlineInSilence(t *testing.T) {
+	engine := newEngine(t, nil)
+	client := newClient(t, endpoint.ClientConfig{})
+	call := chatCall(engine.Addr())
+	_, err := client.Do(t.Context(), call, &recorder{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, engine.Inject(standin.Fault{Fault: standin.FaultSilent}), qt.IsNil)
+
+	ctx, cancel := context.WithTimeout(t.Context(), 3*shortTimeout)
+	defer cancel()
+	call.HeaderTimeout, call.OnSilence = shortTimeout, func(time.Duration) {}
+	_, err = client.Do(ctx, call, &recorder{})
+	got := asCallError(t, err)
+	qt.Check(t, got.Kind, qt.Equals, endpoint.CallerGone)
+	qt.Check(t, got.Reused, qt.IsTrue)
+	qt.Check(t, client.PoolBypassed(call.Address), qt.IsTrue)
+}
+
 // The engine keeps running a stream without a reader for ResumeGrace, here one
 // hour. A stream whose caller has disconnected must be cancelled before that.
 func TestCallerDisconnectCancelsStream(t *testing.T) {
--- a/internal/endpoint/silence.go
+++ b/internal/endpoint/silence.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// ErrSilent is the cause with which a call is cancelled whose endpoint is silent. Such
-// a call fails with Silent.
+// ErrSilent is the cause with which a call is cancelled because its endpoint is silent,
+// or because another endpoint has answered meanwhile. Such a call fails with Silent.
 var ErrSilent = errors.New("no byte within the timeout")
 
 // silenceCheckPeriod is the interval at which a call whose endpoint stays silent reports
@@ -24,6 +24,8 @@
 	mu sync.Mutex
 	// waiting is set from start to stop.
 	waiting bool
+	// reported is set once the silence of the last wait has been reported.
+	reported bool
 	// since is when the call began to wait, and limit the duration from then on after
 	// which the silence is reported.
 	since time.Time
@@ -43,7 +45,7 @@
 func (s *silenceTimer) start(limit time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.waiting, s.since, s.limit = true, time.Now(), limit
+	s.waiting, s.reported, s.since, s.limit = true, false, time.Now(), limit
 	s.timer.Reset(limit)
 }
 
@@ -63,6 +65,15 @@
 	if !s.waiting || silent < s.limit {
 		return // The wait ended as the timer expired.
 	}
+	s.reported = true
 	s.report(silent)
 	s.timer.Reset(silenceCheckPeriod)
 }
+
+// wasSilent reports whether the endpoint was silent for longer than the limit in the last
+// wait.
+func (s *silenceTimer) wasSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reported
+}
