Take an answer only once its first data or its end has come

What callers saw: 502 although the silent endpoint would have answered, because the second one had sent the header of an answer and then closed its connection. And since a resumed stream is taken at its first event, one that had no event left was asked for again every 100 ms until the deadline: its complete answer was taken for none.

Cause: the head of an answer made its call the one that is forwarded, and a call that ended well without data never did.

Evidence: TestLateAnswerIsDelivered with a second endpoint that fails after its header fails before this change with 502.

Each call now keeps its head and is taken at its first data, or when it has ended.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -14,8 +14,7 @@
 // is sent, so that another attempt can replace it.
 const maxBufferedBytes = 64 << 10
 
-// answer writes the answer to one request. It is the sink of the request's
-// endpoint calls.
+// answer writes the answer to one request.
 type answer struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
@@ -61,10 +60,10 @@
 // resumable reports whether the answer may be continued by another endpoint.
 func (a *answer) resumable() bool { return a.resumableRoute && a.lastEvent != "" }
 
-// Head sets the status and the header of the answer.
-func (a *answer) Head(status int, header http.Header) error {
+// setHead sets the status and the header of the answer, unless they were sent.
+func (a *answer) setHead(status int, header http.Header) {
 	if a.sent {
-		return nil
+		return
 	}
 	a.status = status
 	target := a.w.Header()
@@ -79,7 +78,6 @@
 	if a.closeConnection {
 		target.Set("Connection", "close")
 	}
-	return nil
 }
 
 // Data forwards the next bytes.
@@ -148,7 +146,7 @@
 
 // useEndpointError makes the endpoint's own error response the answer.
 func (a *answer) useEndpointError(err *endpoint.CallError) {
-	_ = a.Head(err.Status, err.Header) // Head does not fail before a byte is sent.
+	a.setHead(err.Status, err.Header)
 	a.buffered.Reset()
 	a.buffered.Write(err.Body)
 }
--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -24,8 +24,13 @@
 	resumesAfter string
 	// resumed is true once the call's first event has followed that one.
 	resumed bool
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
+	// status and header are the head of the answer, which is forwarded with its first
+	// data or at its end. headForwarded is true from then on.
+	status        int
+	header        http.Header
+	headForwarded bool
+	ctx           context.Context
+	cancel        context.CancelCauseFunc
 	// done is closed when the call has ended, with err.
 	done chan struct{}
 	err  *endpoint.CallError
@@ -41,7 +46,10 @@
 	defer close(c.done)
 	defer c.cancel(nil)
 	_, err := c.attempt.forwarder.cfg.Endpoints.Do(c.ctx, call, c)
-	if err != nil && !errors.As(err, &c.err) {
+	switch {
+	case err == nil && c.forwardHead() != nil:
+		c.err = &endpoint.CallError{Kind: endpoint.CallerGone}
+	case err != nil && !errors.As(err, &c.err):
 		c.err = &endpoint.CallError{Kind: endpoint.ConnectionLost}
 	}
 	c.placement.reservation.end(time.Now(), c.outcome())
@@ -68,19 +76,14 @@
 	}
 }
 
-// Head forwards the head of the answer. That of a resumed stream is only checked: the
-// caller has one, and the first event decides whether the stream is continued.
+// Head keeps the head of the answer, which alone does not show that the endpoint will
+// answer. A resumed stream must have the status of one that goes on.
 func (c *attemptCall) Head(status int, header http.Header) error {
-	if c.resumesAfter != "" {
-		if status != http.StatusOK {
-			return errNotResumed
-		}
-		return nil
-	}
-	if !c.attempt.claim(c) {
-		return errOutpaced
+	if c.resumesAfter != "" && status != http.StatusOK {
+		return errNotResumed
 	}
-	return c.attempt.task.answer.Head(status, header)
+	c.status, c.header = status, header
+	return nil
 }
 
 // Data forwards the next bytes of the answer.
@@ -88,10 +91,23 @@
 	if !c.continuesStream(p) {
 		return errNotResumed
 	}
+	if err := c.forwardHead(); err != nil {
+		return err
+	}
+	return c.attempt.task.answer.Data(p)
+}
+
+// forwardHead makes the call's answer the one that is forwarded, and forwards its head
+// once.
+func (c *attemptCall) forwardHead() error {
 	if !c.attempt.claim(c) {
 		return errOutpaced
 	}
-	return c.attempt.task.answer.Data(p)
+	if !c.headForwarded {
+		c.headForwarded = true
+		c.attempt.task.answer.setHead(c.status, c.header)
+	}
+	return nil
 }
 
 // continuesStream reports whether the events directly follow the last one that the
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -138,10 +138,8 @@
 		a.record(a.first)
 		return a.first
 	}
-	if a.first.err == nil {
-		a.claimLocked(a.first)
-	} else {
-		a.claimLocked(second) // The first has failed; the second may still answer.
+	if a.first.err != nil {
+		a.claimLocked(second) // The second may still answer.
 	}
 	last, other := a.winner, second
 	a.mu.Unlock()
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -36,6 +36,12 @@
 	}
 }
 
+// headOnly closes its connection after the header of its answer.
+func headOnly(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).Flush()
+	abortConnection(w, r)
+}
+
 // setRoute changes a route of the routing table.
 func (s *site) setRoute(c *qt.C, name string, change func(*routing.Route)) {
 	doc := document()
@@ -95,6 +101,28 @@
 	}
 }
 
+// TestStreamWithoutRestEnds guards against a stream that is requested again and again,
+// as its endpoint pauses before the end and another one has no event left.
+func TestStreamWithoutRestEnds(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	unended := newEndpoint(c, func(w http.ResponseWriter, r *http.Request) {
+		events(1, 3, true)(w, r)
+		select {
+		case <-r.Context().Done():
+		case <-release:
+		}
+	})
+	defer close(release)
+	other := newEndpoint(c, events(4, 3, true))
+	s := newSite(c, unended, other)
+	s.setRoute(c, "resumable", func(r *routing.Route) { r.MaxEventGap = 30 * time.Millisecond })
+	_, body, err := s.ask(c, "POST", "/resumable/", "x", map[string]string{"Oleanderramp-Key": "secret", "Oleanderramp-Deadline-Ms": "2000"})
+	c.Assert(err, qt.IsNil)
+	c.Check(body, qt.Equals, completeStream(1, 3))
+	c.Check(other.seen(), qt.HasLen, 1)
+}
+
 // TestLateAnswerIsDelivered guards against an answer that is refused or given up because
 // its header is late, though no other endpoint can replace it.
 func TestLateAnswerIsDelivered(t *testing.T) {
@@ -109,6 +137,7 @@
 		{"budget used up", "safe", ok("a"), ok("b"), 0, "a"},
 		{"the other endpoint refuses", "safe", ok("a"), notRun, 100, "a"},
 		{"the other endpoint fails", "safe", ok("a"), status(http.StatusInternalServerError), 100, "a"},
+		{"the other endpoint fails after its header", "safe", ok("a"), headOnly, 100, "a"},
 		{"the other endpoint is faster", "safe", ok("a"), ok("b"), 100, "b"},
 		{"stream, budget used up", "resumable", events(1, 2, true), events(1, 2, true), 0, completeStream(1, 2)},
 		{"stream, the other endpoint refuses", "resumable", events(1, 2, true), notRun, 100, completeStream(1, 2)},
