Refund the retry of a second endpoint that can't be reached

What callers saw: a stream ended at its deadline, though a third endpoint could have continued it.

Cause: a second endpoint for a silent stream is charged to the retry budget. If it could not be connected to, the retry stayed spent, unlike that of an attempt that was not sent.

Evidence: TestStreamMovesPastUnreachableEndpoint, with a budget of one retry, fails before this change where the unreachable endpoint is tried first.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -149,7 +149,7 @@
 		return "may_have_run_once", false
 	case t.answer.partlySent() && !t.answer.resumable():
 		return "answer_partly_passed", false
-	case err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent:
+	case !wasSent(err):
 		return "not_sent", len(t.excluded) <= maxExcluded
 	case t.reachedEndpoints >= max(t.route.MaxAttempts, 1):
 		return "attempts_used_up", false
@@ -160,6 +160,11 @@
 	}
 }
 
+// wasSent reports whether a part of the request may have reached the endpoint.
+func wasSent(err *endpoint.CallError) bool {
+	return err.Kind != endpoint.DialFailed && err.Kind != endpoint.NotSent
+}
+
 // maxExcluded bounds the number of failed endpoints after which a request that could
 // not be sent is tried at another one.
 const maxExcluded = 4
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -83,8 +83,9 @@
 	go second.run(call)
 }
 
-// dropFinished drops a second call that has ended without an answer. It reports whether
-// there is now none, and the attempt is still undecided.
+// dropFinished drops a second call that has ended without an answer: one that has ended
+// with an answer is the winner. It reports whether there is now none, and the attempt is
+// still undecided.
 func (a *attempt) dropFinished() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -95,6 +96,9 @@
 		return false
 	}
 	a.record(a.second)
+	if !wasSent(a.second.err) {
+		a.forwarder.refundRetry(a.task.service)
+	}
 	a.second, a.winner = nil, nil
 	return true
 }
@@ -165,7 +169,7 @@
 	case endpoint.DialFailed:
 		a.forwarder.crashes.recordUnreachable(time.Now(), id)
 	}
-	if err.Kind != endpoint.DialFailed && err.Kind != endpoint.NotSent {
+	if wasSent(err) {
 		t.reachedEndpoints++
 	}
 	t.mayHaveRun = t.mayHaveRun || err.MayHaveRun()
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -36,6 +36,18 @@
 	}
 }
 
+// unended streams the events with the IDs from 1 to last, and neither ends the stream nor
+// goes on until it is released.
+func unended(release <-chan struct{}, last int) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		events(1, last, true)(w, r)
+		select {
+		case <-r.Context().Done():
+		case <-release:
+		}
+	}
+}
+
 // headOnly closes its connection after the header of its answer.
 func headOnly(w http.ResponseWriter, r *http.Request) {
 	_ = http.NewResponseController(w).Flush()
@@ -106,16 +118,9 @@
 func TestStreamWithoutRestEnds(t *testing.T) {
 	c := qt.New(t)
 	release := make(chan struct{})
-	unended := newEndpoint(c, func(w http.ResponseWriter, r *http.Request) {
-		events(1, 3, true)(w, r)
-		select {
-		case <-r.Context().Done():
-		case <-release:
-		}
-	})
+	first, other := newEndpoint(c, unended(release, 3)), newEndpoint(c, events(4, 3, true))
 	defer close(release)
-	other := newEndpoint(c, events(4, 3, true))
-	s := newSite(c, unended, other)
+	s := newSite(c, first, other)
 	s.setRoute(c, "resumable", func(r *routing.Route) { r.MaxEventGap = 30 * time.Millisecond })
 	_, body, err := s.ask(c, "POST", "/resumable/", "x", map[string]string{"Oleanderramp-Key": "secret", "Oleanderramp-Deadline-Ms": "2000"})
 	c.Assert(err, qt.IsNil)
@@ -157,18 +162,32 @@
 	}
 }
 
+// TestStreamMovesPastUnreachableEndpoint guards against a retry budget that is spent on
+// an endpoint that can't be reached, so that none is left for one that can.
+func TestStreamMovesPastUnreachableEndpoint(t *testing.T) {
+	for unreachable := 1; unreachable <= 2; unreachable++ {
+		t.Run(fmt.Sprint("unreachable ", unreachable), func(t *testing.T) {
+			c := qt.New(t)
+			release := make(chan struct{})
+			endpoints := []*fakeEndpoint{newEndpoint(c, unended(release, 1)), newEndpoint(c, events(2, 3, true)), newEndpoint(c, events(2, 3, true))}
+			defer close(release)
+			endpoints[unreachable].server.Close()
+			s := newSite(c, endpoints...)
+			s.setRoute(c, "resumable", func(r *routing.Route) { r.MaxEventGap = 30 * time.Millisecond })
+			s.forwarder.SetRetryBudget(0, 1)
+			_, body, err := s.ask(c, "POST", "/resumable/", "x", map[string]string{"Oleanderramp-Key": "secret", "Oleanderramp-Deadline-Ms": "3000"})
+			c.Assert(err, qt.IsNil)
+			c.Check(body, qt.Equals, completeStream(1, 3))
+		})
+	}
+}
+
 // TestStreamOfDeadEndpointMoves guards against waiting for an endpoint that stays silent
 // while another one can continue its stream.
 func TestStreamOfDeadEndpointMoves(t *testing.T) {
 	c := qt.New(t)
 	release := make(chan struct{})
-	dead := newEndpoint(c, func(w http.ResponseWriter, r *http.Request) {
-		events(1, 1, true)(w, r)
-		select {
-		case <-r.Context().Done():
-		case <-release:
-		}
-	})
+	dead := newEndpoint(c, unended(release, 1))
 	defer close(release)
 	s := newSite(c, dead, newEndpoint(c, events(2, 3, true)))
 	s.setRoute(c, "resumable", func(r *routing.Route) { r.MaxEventGap = 30 * time.Millisecond })
