--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -174,11 +174,10 @@
 		return
 	}
 	id := call.placement.choice.Endpoint.ID
-	notSent := err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent
-	if notSent && call != a.first {
+	if !wasSent(err) && call != a.first {
 		a.forwarder.refundRetry(t.service)
 	}
-	if !notSent && !slices.Contains(t.reached, id) {
+	if wasSent(err) && !slices.Contains(t.reached, id) {
 		t.reached = append(t.reached, id)
 	}
 	t.mayHaveRun = t.mayHaveRun || err.MayHaveRun()
