Let stand-in endpoints pause

A sound endpoint may send nothing for a second or so and then go on. The fault "pause" makes stand-ins do that for pause_ms, on open and on new connections; "silent" is for good and spares new connections, "late" only delays the start.

--- a/cmd/standin/manual.go
+++ b/cmd/standin/manual.go
@@ -55,6 +55,8 @@
    or with 0, the fault stays enabled until it is cleared.
 
    silent      connections that are open now never send again; new ones work
+   pause       send nothing for "pause_ms", on open and on new connections,
+               then go on; announcements continue
    late        delay the start of responses by "delay_ms"
    truncate    close the connection in the middle of a response, or after
                "after_events" events of a stream
--- a/internal/standin/conn.go
+++ b/internal/standin/conn.go
@@ -5,16 +5,22 @@
 	"net"
 	"os"
 	"sync"
+	"time"
 )
 
 // connTable is a listener that tracks its open connections and can silence
 // them: a silenced connection stays open, but no data passes any more, and its
-// close does not reach the peer either.
+// close does not reach the peer either. It can also pause all connections for a
+// time, after which they go on.
 type connTable struct {
 	net.Listener
 
 	mu   sync.Mutex
 	open map[*faultConn]struct{}
+	// pausedUntil is when the connections may send again. Before that, pauseExempt
+	// may send once.
+	pausedUntil time.Time
+	pauseExempt net.Conn
 	// done is closed to unblock reads on silenced connections.
 	done   chan struct{}
 	closed bool
@@ -60,6 +66,38 @@
 	return silenced
 }
 
+// pause stops all connections, old and new, from sending until d has passed. The
+// connection exempt, which may be nil, sends the answer to the request that caused it.
+func (t *connTable) pause(now time.Time, d time.Duration, exempt net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pausedUntil, t.pauseExempt = now.Add(d), exempt
+}
+
+// pauseLeft returns for how long the connection must not send.
+func (t *connTable) pauseLeft(now time.Time, c net.Conn) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c == t.pauseExempt {
+		t.pauseExempt = nil
+		return 0
+	}
+	return t.pausedUntil.Sub(now)
+}
+
+// awaitPause blocks while the connection is paused. It returns an error if the table
+// is aborted first.
+func (t *connTable) awaitPause(c net.Conn) error {
+	for left := t.pauseLeft(time.Now(), c); left > 0; left = t.pauseLeft(time.Now(), c) {
+		select {
+		case <-time.After(left):
+		case <-t.done:
+			return net.ErrClosed
+		}
+	}
+	return nil
+}
+
 // abort closes the listener and all connections at once.
 func (t *connTable) abort() {
 	_ = t.Close()
@@ -100,8 +138,12 @@
 	return 0, net.ErrClosed
 }
 
-// Write discards the bytes on a silenced connection and reports success.
+// Write waits for the end of a pause. It discards the bytes on a silenced connection
+// and reports success.
 func (c *faultConn) Write(p []byte) (int, error) {
+	if err := c.table.awaitPause(c); err != nil {
+		return 0, err
+	}
 	if c.isSilent() {
 		return len(p), nil
 	}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -16,6 +16,9 @@
 	// FaultSilent permanently silences the connections that are currently
 	// open.
 	FaultSilent FaultKind = "silent"
+	// FaultPause stops all sending, on open and on new connections, for PauseMS.
+	// What the endpoint would have sent follows then. Announcements continue.
+	FaultPause FaultKind = "pause"
 	// FaultLate delays the start of responses by DelayMS.
 	FaultLate FaultKind = "late"
 	// FaultTruncate closes the connection in the middle of a response.
@@ -31,7 +34,7 @@
 	// FaultWrongID echoes a wrong request id.
 	FaultWrongID FaultKind = "wrong_id"
 	// FaultClear ends all active faults. Silenced connections stay silenced,
-	// and a departure is not taken back.
+	// a pause lasts until its end, and a departure is not taken back.
 	FaultClear FaultKind = "clear"
 )
 
@@ -42,6 +45,8 @@
 	Count int `json:"count,omitempty"`
 	// DelayMS is the delay of FaultLate in milliseconds.
 	DelayMS int `json:"delay_ms,omitempty"`
+	// PauseMS is the length of FaultPause in milliseconds.
+	PauseMS int `json:"pause_ms,omitempty"`
 	// AfterEvents is the number of stream events that FaultTruncate lets pass.
 	AfterEvents int `json:"after_events,omitempty"`
 	// Marker is the text in a request body that triggers FaultCrash.
@@ -112,6 +117,11 @@
 	switch fault.Fault {
 	case FaultSilent:
 		b.conns.silence(exempt)
+	case FaultPause:
+		if fault.PauseMS <= 0 {
+			return fmt.Errorf("fault %q: pause_ms must be at least 1, got %d", fault.Fault, fault.PauseMS)
+		}
+		b.conns.pause(time.Now(), time.Duration(fault.PauseMS)*time.Millisecond, exempt)
 	case FaultLeave:
 		b.announcer.leave()
 	case FaultLate, FaultTruncate, FaultCrash, FaultRefuse, FaultWrongID, FaultClear:
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -240,6 +240,47 @@
 	qt.Check(t, err, qt.IsNotNil)
 }
 
+// TestPausedEngineGoesOn checks that an engine that pauses sends nothing on open and on
+// new connections, and then the whole answers.
+func TestPausedEngineGoesOn(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	c := qt.New(t)
+	engine := newEngine(t, func(c *standin.EngineConfig) { c.TokenInterval = time.Millisecond })
+	url := "http://" + engine.Addr()
+	response, err := http.Post(url+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"a b","max_tokens":50,"stream":true}`))
+	c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	start := time.Now()
+	status, _ := request(t, http.MethodPost, url+"/control/faults", fmt.Sprintf(`{"fault":"pause","pause_ms":%d}`, pause.Milliseconds()))
+	c.Assert(status, qt.Equals, http.StatusNoContent)
+	status, _ = request(t, http.MethodPost, url+"/v1/completions", `{"prompt":"a b"}`)
+	c.Check(status, qt.Equals, http.StatusOK)
+	c.Check(time.Since(start) >= pause, qt.IsTrue)
+	data, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Check(bytes.HasSuffix(data, []byte("data: [DONE]\n\n")), qt.IsTrue)
+	c.Check(bytes.Count(data, []byte("\n\n")) >= 50, qt.IsTrue)
+}
+
+func TestPauseNeedsALength(t *testing.T) {
+	engine := newEngine(t, nil)
+	err := engine.Inject(standin.Fault{Fault: standin.FaultPause})
+	qt.Check(t, err, qt.ErrorMatches, `fault "pause": pause_ms must be at least 1, got 0`)
+}
+
+// TestPausedEngineCloses checks that a pause does not delay the end of an engine.
+func TestPausedEngineCloses(t *testing.T) {
+	engine := newEngine(t, nil)
+	qt.Assert(t, engine.Inject(standin.Fault{Fault: standin.FaultPause, PauseMS: 3_600_000}), qt.IsNil)
+	failed := make(chan error)
+	go func() {
+		_, err := http.Get("http://" + engine.Addr() + "/health")
+		failed <- err
+	}()
+	engine.Close()
+	qt.Check(t, <-failed, qt.IsNotNil)
+}
+
 func TestConfigFindings(t *testing.T) {
 	_, err := standin.NewEngine(standin.EngineConfig{Config: standin.Config{Listen: "localhost:1", Slots: -1, AnswerDelay: -1}})
 	qt.Check(t, err, qt.ErrorMatches, `(?s)engine: listen: must be IP:port.*slots: .*endpoint: .*service: .*late: .*`)
