Let sound endpoints pause in the soak's calm phase

The soak's faults were all trouble, and LOST held in calm time only, so a request that a router gave up for a pause was never looked at.

LOST now also covers a request that is still unanswered 0.5 s after its time limit (it counted as left by its caller before), and one that ran at an endpoint that paused and is answered with a failure.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -49,6 +49,7 @@
 			&cli.StringFlag{Name: "program", Usage: "path of the program; default: oleanderramp in the folder of this program"},
 			&cli.IntFlag{Name: "controls"}, &cli.IntFlag{Name: "routers"}, &cli.IntFlag{Name: "endpoints"}, &cli.IntFlag{Name: "callers"},
 			&cli.DurationFlag{Name: "faults", Value: 12 * time.Second, Usage: "duration of fault injection"},
+			&cli.DurationFlag{Name: "pauses", Value: 10 * time.Second, Usage: "duration of the pauses of sound endpoints"},
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
@@ -90,7 +91,7 @@
 					Program: program, Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)), Seed: seed,
 					Network:  [2]byte{byte(128 + os.Getpid()%100), byte(4 * job)},
 					Controls: c.Int("controls"), Routers: c.Int("routers"), Endpoints: c.Int("endpoints"), Callers: c.Int("callers"),
-					Faults: c.Duration("faults"),
+					Faults: c.Duration("faults"), Pauses: c.Duration("pauses"),
 				}
 				text, err := runSeed(config)
 				mu.Lock()
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// requestTimeout is how long a caller waits for the complete answer.
+	// requestTimeout is the time limit of a request, and maxAnswerDelay how long after
+	// it a caller still waits for the complete answer.
 	requestTimeout = 3 * time.Second
+	maxAnswerDelay = 500 * time.Millisecond
 	// maxCallerPause is the maximum pause between two requests of a caller.
 	maxCallerPause = 60 * time.Millisecond
 	// cancelPercent is the percentage of requests that the caller cancels early.
@@ -84,7 +86,7 @@
 // cancelAfter; 0 means never.
 func (s *Site) exchange(client *http.Transport, r *sentRequest, cancelAfter time.Duration) []byte {
 	s.ledger.begin(r)
-	timeout := requestTimeout
+	timeout := requestTimeout + maxAnswerDelay
 	if cancelAfter > 0 {
 		timeout = cancelAfter
 	}
@@ -93,7 +95,7 @@
 	status, got, err := s.send(ctx, client, r)
 	s.ledger.end(r, func(r *sentRequest) {
 		r.ended, r.status, r.complete, r.failure = s.since(), status, err == nil, err
-		r.abandoned = ctx.Err() != nil
+		r.abandoned = cancelAfter > 0 && ctx.Err() != nil
 	})
 	return got
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -28,6 +28,7 @@
 			s.checkExecution(r, e)
 		}
 		s.checkRequest(r)
+		s.checkPaused(r)
 	}
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -61,6 +61,48 @@
 	}
 }
 
+// TestPausesAreNoReasonToGiveUp checks that a request that was given up while the
+// endpoint that ran it paused is reported, and that other outcomes are not.
+func TestPausesAreNoReasonToGiveUp(t *testing.T) {
+	broken := errors.New("EOF")
+	ran := func(endpoint string, at time.Duration) []execution {
+		return []execution{{endpoint: endpoint, service: plainService, account: "large", path: "/x", body: "b", at: at}}
+	}
+	const paused, goesOn = 20 * time.Second, 22 * time.Second
+	tests := []struct {
+		name      string
+		status    int
+		failure   error
+		abandoned bool
+		runs      []execution
+		ended     time.Duration
+		want      string
+	}{
+		{"answered afterwards", 200, nil, false, ran("e", 19*time.Second), goesOn, ""},
+		{"broken off", 200, broken, false, ran("e", 19*time.Second), 21 * time.Second, "LOST"},
+		{"unanswered", 0, broken, false, ran("e", 21*time.Second), goesOn, "LOST"},
+		{"failure instead of an answer", 502, nil, false, ran("e", 19*time.Second), 21 * time.Second, "LOST"},
+		{"failure of a request that begins meanwhile", 504, nil, false, ran("e", 21*time.Second), 23 * time.Second, "LOST"},
+		{"failure before the pause", 502, nil, false, ran("e", 18*time.Second), 19 * time.Second, ""},
+		{"failure after the pause", 502, nil, false, ran("e", 23*time.Second), 24 * time.Second, ""},
+		{"failure at another endpoint", 502, nil, false, ran("f", 19*time.Second), 21 * time.Second, ""},
+		{"refused without a run", 503, nil, false, nil, 21 * time.Second, ""},
+		{"caller left", 0, broken, true, ran("e", 19*time.Second), 21 * time.Second, ""},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := &Site{recorder: &recorder{started: time.Now()}, ledger: newLedger(), faultFreeFrom: 10 * time.Second}
+			s.pauses = []endpointPause{{endpoint: "e", from: paused, until: goesOn}}
+			s.ledger.begin(&sentRequest{
+				kind: requestKinds[3], id: "r", path: "/x", body: "b", account: "large", status: test.status, failure: test.failure,
+				complete: test.failure == nil, abandoned: test.abandoned, began: 18 * time.Second, ended: test.ended, executions: test.runs,
+			})
+			s.checkLedger()
+			qt.Check(t, violatedInvariants(s), qt.Equals, test.want)
+		})
+	}
+}
+
 func setEngineService(e *execution) { e.service = engineService }
 
 func violatedInvariants(s *Site) string {
@@ -82,8 +124,8 @@
 func TestReadBackMatchesSentDocument(t *testing.T) {
 	c := qt.New(t)
 	v := newVersions()
-	_, first := v.next(0, false)
-	_, second := v.next(1, true)
+	_, first := v.next(defaultTable(0), false)
+	_, second := v.next(defaultTable(1), true)
 	c.Assert(string(first), qt.Not(qt.Equals), string(second))
 	got, ok := v.recordRead(first)
 	c.Check(got, qt.Equals, 1)
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -53,6 +53,8 @@
 	startCount atomic.Int64
 	// failurePercent is the percentage of requests that fail.
 	failurePercent atomic.Int32
+	// answers and announcements block what the endpoint sends while it pauses.
+	answers, announcements gate
 	// stopMu is held by the fault that stops the endpoint, so that no other
 	// fault does so meanwhile.
 	stopMu sync.Mutex
@@ -111,6 +113,13 @@
 	return nil
 }
 
+// incarnation returns the current incarnation, or nil while the endpoint is down.
+func (e *Endpoint) incarnation() *incarnation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current
+}
+
 // crash stops the current incarnation without announcing its departure.
 func (e *Endpoint) crash() {
 	e.mu.Lock()
@@ -128,9 +137,7 @@
 // leave announces that the endpoint is leaving, and stops it drainTime after
 // that was acknowledged.
 func (e *Endpoint) leave(ctx context.Context) {
-	e.mu.Lock()
-	r := e.current
-	e.mu.Unlock()
+	r := e.incarnation()
 	if r == nil {
 		return
 	}
@@ -144,7 +151,7 @@
 // announce sends announcements to the control hosts in turn until the context
 // ends.
 func (e *Endpoint) announce(ctx context.Context, r *incarnation) {
-	for turn := e.number; ; turn++ {
+	for turn := e.number; e.announcements.pass(ctx); turn++ {
 		leaving := r.leaving.Load()
 		r.sequence++
 		body := outside.Announcement(r.service, e.relay.Address(), e.site.zone(e.number), r.software, slots, leaving, r.sequence, r.startTime)
@@ -176,27 +183,48 @@
 	if err != nil {
 		return
 	}
-	outside.SetAnswerHeader(w.Header(), call.ID, r.id)
-	if call.Expected != r.id {
-		outside.SetNotRunHeader(w.Header())
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
+	refusal := r.refusal(call)
+	if refusal == 0 {
+		e.site.ledger.recordExecution(call.ID, execution{
+			endpoint: r.id, service: r.service, account: call.Account, key: call.Key, path: request.URL.Path, body: string(body),
+			at: e.site.since(), leaveAcknowledged: time.Duration(r.acknowledged.Load()),
+		})
 	}
-	if call.TimeLeft <= 0 {
+	e.answer(r, w, request, call, refusal)
+}
+
+// refusal returns the status with which an incarnation refuses a call that it does
+// not run, or 0 if it runs the call.
+func (r *incarnation) refusal(call outside.Call) int {
+	switch {
+	case call.Expected != r.id:
+		return http.StatusMisdirectedRequest
+	case call.TimeLeft <= 0:
+		return http.StatusServiceUnavailable
+	default:
+		return 0
+	}
+}
+
+// answer sends the answer to a call, or the refusal if that is not 0. It sends
+// nothing while the endpoint pauses.
+func (e *Endpoint) answer(r *incarnation, w http.ResponseWriter, request *http.Request, call outside.Call, refusal int) {
+	outside.SetAnswerHeader(w.Header(), call.ID, r.id)
+	if refusal != 0 {
 		outside.SetNotRunHeader(w.Header())
-		w.WriteHeader(http.StatusServiceUnavailable)
+		e.answers.pass(request.Context())
+		w.WriteHeader(refusal)
 		return
 	}
-	e.site.ledger.recordExecution(call.ID, execution{
-		endpoint: r.id, service: r.service, account: call.Account, key: call.Key, path: request.URL.Path, body: string(body),
-		at: e.site.since(), leaveAcknowledged: time.Duration(r.acknowledged.Load()),
-	})
 	failing := rand.Int32N(100) < e.failurePercent.Load()
 	if r.service == engineService {
-		answerStream(w, request, call, r.software, failing)
+		e.answerStream(w, request, call, r.software, failing)
 		return
 	}
 	sleep(request.Context(), plainServiceTime)
+	if !e.answers.pass(request.Context()) {
+		return
+	}
 	if failing {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -206,12 +234,12 @@
 
 // answerStream responds with a stream of events, starting after the last event
 // that the caller has. If failing is set, it aborts the connection halfway.
-func answerStream(w http.ResponseWriter, request *http.Request, call outside.Call, software string, failing bool) {
+func (e *Endpoint) answerStream(w http.ResponseWriter, request *http.Request, call outside.Call, software string, failing bool) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	pause := firstEventDelay
 	for event := call.LastEvent + 1; event <= streamEvents; event++ {
-		if !sleep(request.Context(), pause) {
+		if !sleep(request.Context(), pause) || !e.answers.pass(request.Context()) {
 			return
 		}
 		pause = eventInterval
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -25,46 +24,6 @@
 	invalidOrderPercent = 10
 )
 
-// accounts are the client accounts of the site.
-var accounts = []string{"large", "small", "tiny"}
-
-// accountKey returns the key of an account.
-func accountKey(account string) string { return "key-of-" + account }
-
-// versionRouteStart starts the paths of the routes that only show which routing
-// version a router uses.
-const versionRouteStart = "/since-"
-
-// versionRoutePrefix returns the path prefix of a public route that exists from
-// this version on.
-func versionRoutePrefix(version int) string { return fmt.Sprintf("%s%d/", versionRouteStart, version) }
-
-// orderDocument returns the body of the order with a version. Different operators
-// send different content under the same version.
-func orderDocument(version, operator int) []byte {
-	var routes []outside.Route
-	for _, k := range requestKinds {
-		routes = append(routes, outside.Route{
-			Prefix: k.prefix, Service: k.service, Kind: k.routeKind, Timeout: requestTimeout, Objective: time.Second,
-			Attempts: maxAttempts, Resumable: k.stream && !k.atMostOnce,
-		})
-	}
-	for v := 1; v <= version; v++ {
-		routes = append(routes, outside.Route{
-			Prefix: versionRoutePrefix(v), Service: plainService, Kind: "safe", Timeout: requestTimeout + time.Duration(operator)*time.Millisecond,
-			Objective: time.Second, Attempts: 1, Public: true,
-		})
-	}
-	keys := make(map[string]string)
-	for _, account := range accounts {
-		keys[accountKey(account)] = account
-	}
-	return outside.RoutingDocument(version, siteHost, routes, []string{engineService}, []string{plainService}, slots, keys)
-}
-
-// maxAttempts is the maximum number of endpoints that one request may reach.
-const maxAttempts = 2
-
 // versions records the routing versions that operators sent, and those that were
 // acknowledged and read back. It is safe for concurrent use.
 type versions struct {
@@ -84,13 +43,13 @@
 
 // next returns the version and body of a new order. With reuseLast it uses the
 // highest version again, if there is one.
-func (v *versions) next(operator int, reuseLast bool) (int, []byte) {
+func (v *versions) next(table tableContent, reuseLast bool) (int, []byte) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if !reuseLast || v.highest == 0 {
 		v.highest++
 	}
-	body := orderDocument(v.highest, operator)
+	body := orderDocument(v.highest, table)
 	v.bodies[v.highest] = append(v.bodies[v.highest], body)
 	return v.highest, body
 }
@@ -133,7 +92,7 @@
 			s.orderInvalid(ctx, random)
 			continue
 		}
-		version, body := s.versions.next(operator, random.IntN(4) == 0)
+		version, body := s.versions.next(defaultTable(operator), random.IntN(4) == 0)
 		s.order(ctx, version, body, random)
 	}
 }
@@ -160,7 +119,7 @@
 // refused.
 func (s *Site) orderInvalid(ctx context.Context, random *rand.Rand) {
 	_, highest := s.versions.known()
-	body := bytes.Replace(orderDocument(highest+1000, 0), []byte(`"service":"`+plainService), []byte(`"service":"nobody`), 1)
+	body := bytes.Replace(orderDocument(highest+1000, defaultTable(0)), []byte(`"service":"`+plainService), []byte(`"service":"nobody`), 1)
 	status, _, err := send(ctx, s.controlAddress(random.IntN(len(s.controls))), http.MethodPost, outside.ReplacePath, body, orderTimeout)
 	if err == nil && status < http.StatusMultipleChoices {
 		s.recorder.addFinding("CONFIG", "an invalid order was acknowledged")
--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -26,11 +26,11 @@
 )
 
 // run executes the phases of a run in turn: the first order, faults, recovery,
-// planned operations without faults, and the final checks.
+// pauses of endpoints and planned operations without faults, and the final checks.
 func (s *Site) run(random *rand.Rand) {
 	runCtx, stopRun := context.WithCancel(context.Background())
 	defer stopRun()
-	version, body := s.versions.next(0, false)
+	version, body := s.versions.next(defaultTable(0), false)
 	startCtx, stopStart := context.WithTimeout(runCtx, startTimeout)
 	defer stopStart()
 	if !s.order(startCtx, version, body, random) {
@@ -59,6 +59,7 @@
 	operators.Wait()
 	s.activeFaults.Wait()
 	s.awaitRecovery(runCtx, random)
+	s.runPauses(runCtx, random)
 	s.runPlannedOperations(runCtx, random)
 	s.checkConvergence(runCtx)
 	stopRun()
@@ -101,7 +102,7 @@
 func (s *Site) awaitRecovery(ctx context.Context, random *rand.Rand) {
 	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	version, body := s.versions.next(0, false)
+	version, body := s.versions.next(defaultTable(0), false)
 	if !s.order(bounded, version, body, random) {
 		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v after the last fault", recoveryTimeout)
 		return
@@ -127,19 +128,11 @@
 func (s *Site) runPlannedOperations(ctx context.Context, random *rand.Rand) {
 	var work sync.WaitGroup
 	defer work.Wait()
-	work.Go(func() {
-		p := s.routers[0]
-		if !s.stop(p) {
-			s.recorder.addFinding("ENDED", "%s did not exit within %v of SIGTERM", p.name(), shutdownTimeout)
-		}
-		if err := p.start(); err != nil {
-			s.recorder.addFinding("SOAK", "%v", err)
-		}
-	})
+	work.Go(func() { s.restartPlanned(s.routers[0]) })
 	work.Go(func() { s.endpoints[0].leave(ctx) })
 	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	version, body := s.versions.next(0, false)
+	version, body := s.versions.next(defaultTable(0), false)
 	if !s.order(bounded, version, body, random) {
 		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v without faults", recoveryTimeout)
 		return
@@ -152,6 +145,17 @@
 	}
 }
 
+// restartPlanned stops a process gracefully and starts it again.
+func (s *Site) restartPlanned(p *Process) {
+	s.recorder.addFault("%s restarts as planned", p.name())
+	if !s.stop(p) {
+		s.recorder.addFinding("ENDED", "%s did not exit within %v of SIGTERM", p.name(), shutdownTimeout)
+	}
+	if err := p.start(); err != nil {
+		s.recorder.addFinding("SOAK", "%v", err)
+	}
+}
+
 // checkConvergence checks that all control hosts return the newest acknowledged
 // routing table within recoveryTimeout.
 func (s *Site) checkConvergence(ctx context.Context) {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -38,6 +38,9 @@
 	Controls, Routers, Endpoints, Callers int
 	// Faults is how long faults are injected.
 	Faults time.Duration
+	// Pauses is how long sound endpoints pause now and then afterwards; 0 means that
+	// they do not.
+	Pauses time.Duration
 }
 
 // Defaults fills the fields that are unset.
@@ -107,6 +110,8 @@
 	lastDiskFault time.Time
 	// callerCount is the number of callers so far, and the next one's number.
 	callerCount int
+	// pauses holds the pauses of endpoints that have ended.
+	pauses []endpointPause
 }
 
 // Run executes one run. It returns an error if the site could not be started;
