--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -88,6 +88,13 @@
 	return f.budget.Spend(service)
 }
 
+// refundRetry returns a retry that was spent and not used.
+func (f *Forwarder) refundRetry(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.budget.Refund(service)
+}
+
 func (f *Forwarder) earnRetry(service string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -214,11 +221,15 @@
 func (t *task) endFields(took time.Duration) event.Fields {
 	fields := t.logFields()
 	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), t.reachedEndpoints, t.answer.sent
+	if t.answer.sent {
+		fields["longest_pause_ms"] = t.answer.longestPause.Milliseconds()
+	}
 	return fields
 }
 
 // failureFields returns the log fields of the end of a request that failed.
 func (t *task) failureFields(fail *failure, took time.Duration) event.Fields {
+	t.answer.recordPause(t.request.ReceivedAt.Add(took))
 	fields := t.endFields(took)
 	fields["outcome"], fields["code"], fields["error"], fields["status"] = string(fail.outcome), string(fail.code), fail.message, fail.status
 	return fields
