End soaks with a loss of disks while all processes are killed

The soak lost one disk at a time, and killed control hosts only.

Right after an acknowledged routing table all processes are killed, up to the tolerated number of control hosts lose their data folders and others get a torn write. The table must be read back as sent at each control host, and the site must serve, within 15 s. SIGKILL keeps what was written without a sync; docs/SOAK.md says so.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -50,6 +50,7 @@
 			&cli.IntFlag{Name: "controls"}, &cli.IntFlag{Name: "routers"}, &cli.IntFlag{Name: "endpoints"}, &cli.IntFlag{Name: "callers"},
 			&cli.DurationFlag{Name: "faults", Value: 12 * time.Second, Usage: "duration of fault injection"},
 			&cli.DurationFlag{Name: "pauses", Value: 10 * time.Second, Usage: "duration of the pauses of sound endpoints"},
+			&cli.BoolFlag{Name: "final-fault", Value: true, Usage: "end with a loss of disks while all processes are killed"},
 		},
 	}
 	if err := command.Run(context.Background(), os.Args); err != nil {
@@ -91,7 +92,7 @@
 					Program: program, Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)), Seed: seed,
 					Network:  [2]byte{byte(128 + os.Getpid()%100), byte(4 * job)},
 					Controls: c.Int("controls"), Routers: c.Int("routers"), Endpoints: c.Int("endpoints"), Callers: c.Int("callers"),
-					Faults: c.Duration("faults"), Pauses: c.Duration("pauses"),
+					Faults: c.Duration("faults"), Pauses: c.Duration("pauses"), FinalFault: c.Bool("final-fault"),
 				}
 				text, err := runSeed(config)
 				mu.Lock()
--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -26,7 +26,8 @@
 )
 
 // run executes the phases of a run in turn: the first order, faults, recovery,
-// pauses of endpoints and planned operations without faults, and the final checks.
+// pauses of endpoints and planned operations without faults, the checks after them,
+// and the final fault.
 func (s *Site) run(random *rand.Rand) {
 	runCtx, stopRun := context.WithCancel(context.Background())
 	defer stopRun()
@@ -62,6 +63,9 @@
 	s.runPauses(runCtx, random)
 	s.runPlannedOperations(runCtx, random)
 	s.checkConvergence(runCtx)
+	if s.config.FinalFault {
+		s.runFinalFault(runCtx, random)
+	}
 	stopRun()
 	s.background.Wait()
 }
@@ -97,15 +101,26 @@
 // relayOf returns the relay in front of a control host.
 func (s *Site) relayOf(p *Process) *relay.Relay { return s.relays[slices.Index(s.controls, p)] }
 
-// awaitRecovery waits until the site acknowledges an order and every router serves
-// each kind of request again after the last fault.
+// awaitRecovery waits until the site serves again after the faults, and then until it
+// has stabilized.
 func (s *Site) awaitRecovery(ctx context.Context, random *rand.Rand) {
+	if !s.awaitServing(ctx, random, "the last fault") {
+		return
+	}
+	sleep(ctx, stabilizationTime)
+	s.faultFreeFrom = s.since() - stabilizationTime
+}
+
+// awaitServing waits until the site acknowledges an order and every router serves
+// each kind of request. It returns false, and reports it, if that takes longer than
+// recoveryTimeout after the fault.
+func (s *Site) awaitServing(ctx context.Context, random *rand.Rand, fault string) bool {
 	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
 	version, body := s.versions.next(defaultTable(0), false)
 	if !s.order(bounded, version, body, random) {
-		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v after the last fault", recoveryTimeout)
-		return
+		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v after %s", recoveryTimeout, fault)
+		return false
 	}
 	for i := range s.routers {
 		for served := 0; served < len(requestKinds); {
@@ -114,13 +129,12 @@
 			if r.complete && r.status == http.StatusOK {
 				served++
 			} else if !sleep(bounded, probeInterval) {
-				s.recorder.addFinding("RECOVER", "%s did not serve a %s within %v after the last fault: status %d, error %v", s.routers[i].name(), r.kind.name, recoveryTimeout, r.status, r.failure)
-				return
+				s.recorder.addFinding("RECOVER", "%s did not serve a %s within %v after %s: status %d, error %v", s.routers[i].name(), r.kind.name, recoveryTimeout, fault, r.status, r.failure)
+				return false
 			}
 		}
 	}
-	sleep(ctx, stabilizationTime)
-	s.faultFreeFrom = s.since() - stabilizationTime
+	return true
 }
 
 // runPlannedOperations restarts a router, lets an endpoint leave and sends an
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,9 @@
 	// Pauses is how long sound endpoints pause now and then afterwards; 0 means that
 	// they do not.
 	Pauses time.Duration
+	// FinalFault means that the run ends with a loss of disks while all processes are
+	// killed.
+	FinalFault bool
 }
 
 // Defaults fills the fields that are unset.
@@ -144,6 +147,9 @@
 
 func (s *Site) zone(number int) string { return fmt.Sprintf("zone-%d", number%zoneCount) }
 
+// tolerated returns the number of control hosts whose loss the site tolerates.
+func (s *Site) tolerated() int { return (s.config.Controls - 1) / 2 }
+
 // zoneCount is the number of zones. Each zone is a region of its own.
 const zoneCount = 3
 
@@ -194,7 +200,7 @@
 	host, _, _ := net.SplitHostPort(s.address(0, number, peersPort))
 	siteSettings := &settings.Site{
 		Host: name, Region: s.zone(number), Zone: s.zone(number), Roles: []settings.Role{role}, Address: host, PeerPorts: []int{peersPort},
-		Listen: listen, FirstStart: true, ToleratedHosts: (s.config.Controls - 1) / 2, ShutdownS: shutdownTimeout.Seconds(),
+		Listen: listen, FirstStart: true, ToleratedHosts: s.tolerated(), ShutdownS: shutdownTimeout.Seconds(),
 	}
 	for i := range zoneCount {
 		siteSettings.Zones = append(siteSettings.Zones, settings.Zone{Zone: s.zone(i), Region: s.zone(i)})
