--- a/internal/soak/pause.go
+++ b/internal/soak/pause.go
@@ -122,12 +122,15 @@
 	}
 }
 
-// pauseEndpoints lets a random share of the endpoints pause from the same moment on,
-// and returns when all go on.
+// pauseEndpoints lets all endpoints or a random share of them pause from the same
+// moment on, and returns when all go on.
 func (s *Site) pauseEndpoints(random *rand.Rand) {
 	var work sync.WaitGroup
 	defer work.Wait()
-	percent := 1 + random.IntN(100)
+	percent := 100
+	if random.IntN(2) == 0 {
+		percent = random.IntN(100)
+	}
 	for _, e := range s.endpoints {
 		length, announces := randomDuration(random, minEndpointPause, maxEndpointPause), random.IntN(2) == 0
 		if random.IntN(100) < percent {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,17 +20,22 @@
 	build := exec.Command("go", "build", "-o", program, "oleanderramp/cmd/oleanderramp")
 	build.Stderr = os.Stderr
 	qt.Assert(t, build.Run(), qt.IsNil)
+	const faults, briefFaults = 5 * time.Second, time.Second
 	tests := []struct {
-		seed  uint64
-		cause string
+		seed           uint64
+		faults, pauses time.Duration
+		finalFault     bool
+		cause          string
 	}{
-		{101, ""},
-		{3, "stray bytes at the end of the log, left by no write, kept the control host from ever starting again"},
-		{5, "as seed 3"},
-		{6, "as seed 3"},
-		{8, "as seed 3, on a control host that reads were sent to"},
-		{12, "as seed 3; also a fault of the soak itself, which started an endpoint twice"},
-		{2, "a fault of the soak itself, which started an endpoint twice"},
+		{seed: 101, faults: faults},
+		{seed: 2901, faults: briefFaults, pauses: 6 * time.Second, cause: "requests to endpoints that paused were given up"},
+		{seed: 3101, faults: briefFaults, finalFault: true},
+		{seed: 3, faults: faults, cause: "stray bytes at the end of the log, left by no write, kept the control host from ever starting again"},
+		{seed: 5, faults: faults, cause: "as seed 3"},
+		{seed: 6, faults: faults, cause: "as seed 3"},
+		{seed: 8, faults: faults, cause: "as seed 3, on a control host that reads were sent to"},
+		{seed: 12, faults: faults, cause: "as seed 3; also a fault of the soak itself, which started an endpoint twice"},
+		{seed: 2, faults: faults, cause: "a fault of the soak itself, which started an endpoint twice"},
 	}
 	// Each run starts a whole site of processes, so only a few may run at the
 	// same time.
@@ -43,7 +48,7 @@
 			defer func() { <-semaphore }()
 			folder := t.TempDir()
 			report, err := soak.Run(soak.Config{
-				Program: program, Folder: folder, Seed: test.seed, Faults: 5 * time.Second,
+				Program: program, Folder: folder, Seed: test.seed, Faults: test.faults, Pauses: test.pauses, FinalFault: test.finalFault,
 				Network:  [2]byte{byte(30 + os.Getpid()%90), byte(4 * i)},
 				Controls: 5, Routers: 2, Endpoints: 4, Callers: 6,
 			})
--- a/internal/soak/table.go
+++ b/internal/soak/table.go
@@ -28,6 +28,8 @@
 	// objective is the usual time until the first event or the answer, and the
 	// usual maximum time between two events.
 	objective = time.Second
+	// maxObjectiveDivisor is what objective is divided by at most.
+	maxObjectiveDivisor = 10
 	// idleTimeout is the usual time after which a router closes an idle connection.
 	idleTimeout = 15 * time.Second
 )
@@ -52,7 +54,7 @@
 func randomTable(random *rand.Rand) tableContent {
 	return tableContent{
 		timeout:     randomDuration(random, requestTimeout, 2*requestTimeout),
-		objective:   randomDuration(random, objective/5, objective),
+		objective:   (objective / time.Duration(1+random.IntN(maxObjectiveDivisor))).Truncate(time.Millisecond),
 		idleTimeout: randomDuration(random, idleTimeout/50, idleTimeout),
 		weight:      random.IntN(4),
 	}
