--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,12 +14,7 @@
 // is sent, so that another attempt can replace it.
 const maxBufferedBytes = 64 << 10
 
-// errResumeMismatch ends a resumed stream that does not continue directly after
-// the last forwarded event.
-var errResumeMismatch = errors.New("the resumed stream does not follow the last event")
-
-// answer writes the answer to one request. It is the sink of the request's
-// endpoint calls.
+// answer writes the answer to one request.
 type answer struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
@@ -45,15 +39,11 @@
 	// longest time between two parts.
 	lastPartAt   time.Time
 	longestPause time.Duration
-	// resumeChecked is false until the first event of a resumed stream has been
-	// checked.
-	resumeChecked bool
 }
 
 // startAttempt prepares for the next attempt.
 func (a *answer) startAttempt(r *reservation) {
 	a.reservation = r
-	a.resumeChecked = a.lastEvent == ""
 	if !a.sent {
 		a.status = 0
 		a.buffered.Reset()
@@ -66,13 +56,10 @@
 // resumable reports whether the answer may be continued by another endpoint.
 func (a *answer) resumable() bool { return a.resumableRoute && a.lastEvent != "" }
 
-// Head sets the status and the header of the answer.
-func (a *answer) Head(status int, header http.Header) error {
+// setHead sets the status and the header of the answer, unless a part of it was sent.
+func (a *answer) setHead(status int, header http.Header) {
 	if a.sent {
-		if status != http.StatusOK {
-			return errResumeMismatch
-		}
-		return nil
+		return
 	}
 	a.status = status
 	target := a.w.Header()
@@ -87,11 +74,10 @@
 	if a.closeConnection {
 		target.Set("Connection", "close")
 	}
-	return nil
 }
 
-// Data forwards the next bytes.
-func (a *answer) Data(p []byte) error {
+// write forwards the next bytes.
+func (a *answer) write(p []byte) error {
 	a.recordPart(time.Now())
 	if !a.stream {
 		a.buffered.Write(p)
@@ -104,13 +90,6 @@
 		a.onFirstEvent()
 	}
 	a.reservation.recordEvents(time.Now(), countEvents(p))
-	if !a.resumeChecked {
-		first := eventID(p)
-		if first != "" && !follows(a.lastEvent, first) {
-			return errResumeMismatch
-		}
-		a.resumeChecked = true
-	}
 	if id := lastEventID(p); id != "" {
 		a.lastEvent = id
 	}
@@ -160,7 +139,7 @@
 
 // useEndpointError makes the endpoint's own error response the answer.
 func (a *answer) useEndpointError(err *endpoint.CallError) {
-	_ = a.Head(err.Status, err.Header) // Head does not fail before a byte is sent.
+	a.setHead(err.Status, err.Header)
 	a.buffered.Reset()
 	a.buffered.Write(err.Body)
 }
--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -10,15 +12,33 @@
 	"oleanderramp/internal/endpoint"
 )
 
+// errNotResumed rejects the answer of an endpoint that does not continue a stream
+// directly after the last forwarded event.
+var errNotResumed = fmt.Errorf("%w: it does not follow the last event", endpoint.ErrWrongAnswer)
+
+// errRejected rejects the error response of a second endpoint while the first may still
+// answer.
+var errRejected = fmt.Errorf("%w: the first endpoint may still answer", endpoint.ErrWrongAnswer)
+
 // attemptCall is a call of an attempt to one endpoint. It is the sink of the call.
 type attemptCall struct {
 	attempt   *attempt
 	placement placement
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
+	// resumesAfter is the ID of the last event that was forwarded before the call; empty
+	// if none was.
+	resumesAfter string
+	// resumed is true once the call's first event has followed that one.
+	resumed bool
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
 	// sentAt is when the call was begun, and beganAt when the first bytes of the answer
 	// arrived; zero before that.
 	sentAt, beganAt time.Time
+	// status and header are those of the answer; header is nil before and once they are
+	// forwarded. held is the part of the body that is not forwarded yet.
+	status int
+	header http.Header
+	held   bytes.Buffer
 	// done is closed when the call has ended, with err.
 	done chan struct{}
 	err  *endpoint.CallError
@@ -26,7 +46,9 @@
 
 func (a *attempt) newCall(now time.Time, p placement) *attemptCall {
 	ctx, cancel := context.WithCancelCause(a.ctx)
-	return &attemptCall{attempt: a, placement: p, ctx: ctx, cancel: cancel, sentAt: now, done: make(chan struct{})}
+	return &attemptCall{
+		attempt: a, placement: p, resumesAfter: a.task.answer.lastEvent, ctx: ctx, cancel: cancel, sentAt: now, done: make(chan struct{}),
+	}
 }
 
 // run makes the call and releases the endpoint's capacity.
@@ -34,14 +56,22 @@
 	defer close(c.done)
 	defer c.cancel(nil)
 	_, err := c.attempt.forwarder.cfg.Endpoints.Do(c.ctx, call, c)
+	if err == nil {
+		err = c.forward(nil)
+	}
 	if err != nil && !errors.As(err, &c.err) {
-		c.err = &endpoint.CallError{Kind: endpoint.ConnectionLost}
+		c.err = endpoint.NewCallError(endpoint.CallerGone, err)
 	}
-	c.recordEndpoint(time.Now())
+	c.recordAtEndpoint(time.Now())
 }
 
-// recordEndpoint records what the end of the call says about the endpoint.
-func (c *attemptCall) recordEndpoint(now time.Time) {
+// outpaced reports whether the call was cancelled because the other one answered.
+func (c *attemptCall) outpaced() bool {
+	return c.err != nil && (errors.Is(c.err, errOutpaced) || errors.Is(context.Cause(c.ctx), endpoint.ErrSilent))
+}
+
+// recordAtEndpoint records what the end of the call says about the endpoint.
+func (c *attemptCall) recordAtEndpoint(now time.Time) {
 	c.placement.reservation.end(now, c.outcome())
 	crashes := c.attempt.forwarder.crashes
 	if c.err == nil {
@@ -52,6 +82,9 @@
 	case endpoint.ConnectionLost, endpoint.Truncated:
 		c.recordLost(now)
 	case endpoint.DialFailed:
+		if c.outpaced() {
+			return
+		}
 		crashes.recordUnreachable(now, c.placement.choice.Endpoint.ID)
 	}
 }
@@ -67,6 +100,9 @@
 	if c.err.Kind == endpoint.CallerGone && errors.Is(context.Cause(c.ctx), context.DeadlineExceeded) {
 		return balance.Failed
 	}
+	if c.err.Kind == endpoint.DialFailed && c.outpaced() {
+		return balance.Abandoned
+	}
 	return endpointOutcome(c.err)
 }
 
@@ -80,29 +116,65 @@
 	}
 }
 
-// claimUnlessRefused makes the call the one whose answer is forwarded, unless it has
-// ended.
-func (c *attemptCall) claimUnlessRefused() {
-	if !c.ended() {
-		c.attempt.claim(c)
+// Head takes the head of the answer. It decides nothing yet: an endpoint that has sent
+// no more may still fail.
+func (c *attemptCall) Head(status int, header http.Header) error {
+	if c.resumesAfter != "" {
+		if status != http.StatusOK {
+			return errNotResumed
+		}
+		return nil
+	}
+	if status >= http.StatusBadRequest && c.attempt.mayOutpace(c) {
+		return errRejected
 	}
+	c.status, c.header = status, header
+	return nil
 }
 
-// Head forwards the head of the answer.
-func (c *attemptCall) Head(status int, header http.Header) error {
-	if !c.attempt.claim(c) {
-		return errOutpaced
+// Data takes the next bytes of the answer. Events are forwarded at once; other answers
+// are held back until they are complete or exceed maxBufferedBytes.
+func (c *attemptCall) Data(p []byte) error {
+	if c.beganAt.IsZero() {
+		c.beganAt = time.Now()
+	}
+	if !c.continuesStream(p) {
+		return errNotResumed
 	}
-	return c.attempt.task.answer.Head(status, header)
+	if !c.attempt.task.isStream() && c.held.Len()+len(p) <= maxBufferedBytes {
+		c.held.Write(p)
+		return nil
+	}
+	return c.forward(p)
 }
 
-// Data forwards the next bytes of the answer.
-func (c *attemptCall) Data(p []byte) error {
+// forward makes the call's answer the one that is forwarded, and forwards what was held
+// back and p. It returns errOutpaced if the other call's answer is.
+func (c *attemptCall) forward(p []byte) error {
 	if !c.attempt.claim(c) {
 		return errOutpaced
 	}
-	if c.beganAt.IsZero() {
-		c.beganAt = time.Now()
+	a := c.attempt.task.answer
+	if c.header != nil {
+		a.setHead(c.status, c.header)
+		c.header = nil
+	}
+	c.held.Write(p)
+	if c.held.Len() == 0 {
+		return nil
+	}
+	defer c.held.Reset()
+	return a.write(c.held.Bytes())
+}
+
+// continuesStream reports whether the events directly follow the last one that the
+// caller has. Only the first event of a resumed stream is checked, and only if it has an
+// ID.
+func (c *attemptCall) continuesStream(events []byte) bool {
+	if c.resumesAfter == "" || c.resumed {
+		return true
 	}
-	return c.attempt.task.answer.Data(p)
+	first := eventID(events)
+	c.resumed = first == "" || follows(c.resumesAfter, first)
+	return c.resumed
 }
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -88,6 +88,13 @@
 	return f.budget.Spend(service)
 }
 
+// hasRetry reports whether a retry may be spent.
+func (f *Forwarder) hasRetry(service string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.budget.Budget(service) >= 1
+}
+
 // refundRetry returns a retry that was spent and not used.
 func (f *Forwarder) refundRetry(service string) {
 	f.mu.Lock()
@@ -123,9 +130,11 @@
 	// earlier of the caller's and the route's deadline.
 	objective time.Time
 	deadline  time.Time
-	// reachedEndpoints counts the endpoints that the request was sent to.
-	reachedEndpoints int
-	excluded         []string
+	// reached holds the IDs of the endpoints that the request was sent to, each once.
+	reached []string
+	// excluded holds the IDs of the endpoints that have failed, each once. The request
+	// is not sent to them again.
+	excluded []string
 	// mayHaveRun is true once an endpoint may have begun to run the request.
 	mayHaveRun bool
 	// answer is the answer sent to the caller so far.
@@ -220,7 +229,7 @@
 // endFields returns the log fields of the end of a request.
 func (t *task) endFields(took time.Duration) event.Fields {
 	fields := t.logFields()
-	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), t.reachedEndpoints, t.answer.sent
+	fields["took_ms"], fields["attempts"], fields["begun"] = took.Milliseconds(), len(t.reached), t.answer.sent
 	if t.answer.sent {
 		fields["longest_pause_ms"] = t.answer.longestPause.Milliseconds()
 	}
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -7,14 +7,11 @@
 	"sync"
 	"time"
 
+	"oleanderramp/internal/balance"
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
 )
 
-// refusalWait is how long after a stream was sent to a second endpoint that one may
-// refuse it before the first is cancelled. Both must not run the stream for long.
-const refusalWait = 250 * time.Millisecond
-
 // errOutpaced is the cause with which a call is cancelled because the other endpoint of
 // its attempt answered first.
 var errOutpaced = errors.New("another endpoint answered first")
@@ -67,10 +64,10 @@
 // endpoint, so that it may use the task.
 func (a *attempt) hedge(silent time.Duration) {
 	now := time.Now()
-	if !a.dropFinished() || a.task.deadline.Sub(now) < minAttemptTime {
+	if !a.dropSecond() || a.task.deadline.Sub(now) < minAttemptTime {
 		return
 	}
-	p, reason := a.forwarder.placeHedge(now, a.task, a.first.placement)
+	p, reason := a.forwarder.placeHedge(now, a.task, a.first.placement.choice.Endpoint.ID)
 	if reason != a.skipReason || reason == "" {
 		a.logSilence(silent, p, reason)
 	}
@@ -81,18 +78,15 @@
 	second := a.newCall(now, p)
 	call := a.forwarder.call(now, a.task, p)
 	call.OnSilence = func(time.Duration) {} // There is no third endpoint to wait for.
-	if a.task.isStream() {
-		call.OnSent = func() { time.AfterFunc(refusalWait, second.claimUnlessRefused) }
-	}
 	a.mu.Lock()
 	a.second = second
 	a.mu.Unlock()
 	go second.run(call)
 }
 
-// dropFinished drops a second call that has ended without an answer. It reports whether
-// there is now none, and the attempt is still undecided.
-func (a *attempt) dropFinished() bool {
+// dropSecond drops a second call that has ended without being forwarded. It reports
+// whether there is now none.
+func (a *attempt) dropSecond() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.second == nil {
@@ -106,7 +100,16 @@
 	return true
 }
 
-// claim makes the call's answer the one that is forwarded, unless the other call's is.
+// mayOutpace reports whether the call is a second one, while the first may still answer.
+func (a *attempt) mayOutpace(call *attemptCall) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return call == a.second && a.winner == nil
+}
+
+// claim makes the call's answer the one that is forwarded, and reports whether it is:
+// without a second call it always is, otherwise that of the call that claims first. The
+// other call is cancelled.
 func (a *attempt) claim(call *attemptCall) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -152,10 +155,13 @@
 	}
 	last, other := a.winner, second
 	a.mu.Unlock()
+	<-second.done
 	if last == second {
 		other = a.first
 	}
-	<-second.done
+	if last == second && second.err != nil && a.first.err.Kind == endpoint.EndpointError {
+		last, other = a.first, second // The first's error response is an answer.
+	}
 	a.record(other)
 	a.record(last)
 	return last
@@ -167,11 +173,16 @@
 	if err == nil {
 		return
 	}
-	if err.Kind != endpoint.DialFailed && err.Kind != endpoint.NotSent {
-		t.reachedEndpoints++
+	id := call.placement.choice.Endpoint.ID
+	notSent := err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent
+	if notSent && call != a.first {
+		a.forwarder.refundRetry(t.service)
+	}
+	if !notSent && !slices.Contains(t.reached, id) {
+		t.reached = append(t.reached, id)
 	}
 	t.mayHaveRun = t.mayHaveRun || err.MayHaveRun()
-	if id := call.placement.choice.Endpoint.ID; !slices.Contains(t.excluded, id) {
+	if !call.outpaced() && !slices.Contains(t.excluded, id) {
 		t.excluded = append(t.excluded, id)
 	}
 }
@@ -184,29 +195,33 @@
 	fields["hedged"], fields["reason"] = reason == "", reason
 	event.EndpointSilent.Log(a.forwarder.cfg.Log, fields)
 	if reason == "" {
-		a.forwarder.logPlacement(a.task, p, a.task.reachedEndpoints+2)
+		a.forwarder.logPlacement(a.task, p, len(a.task.reached)+2)
 	}
 }
 
 // placeHedge reserves an endpoint for the request beside the one that is silent, or
 // returns the reason why not.
-func (f *Forwarder) placeHedge(now time.Time, t *task, silent placement) (placement, string) {
+func (f *Forwarder) placeHedge(now time.Time, t *task, silent string) (placement, string) {
+	demand := t.demand(silent)
 	switch {
 	case t.answer.partlySent() && !t.answer.resumable():
 		return placement{}, "answer_partly_passed"
-	case t.reachedEndpoints+1 >= max(t.route.MaxAttempts, 1):
+	case demand.Only != nil && len(demand.Only) == 0:
 		return placement{}, "attempts_used_up"
-	case !f.spendRetry(t.service):
+	case !f.hasRetry(t.service):
 		return placement{}, "retry_budget_used_up"
 	}
 	left := t.deadline.Sub(now)
-	wanted := placementRequest{demand: t.demand(), account: t.account, objective: left, timeLeft: left, begun: true, tokens: t.tokens()}
-	wanted.demand.Excluded = append(slices.Clone(t.excluded), silent.choice.Endpoint.ID)
-	p, refused := f.cfg.Admission.placeNow(now, wanted)
+	p, refused := f.cfg.Admission.placeNow(now, placementRequest{
+		demand: demand, account: t.account, objective: left, timeLeft: left, begun: true, tokens: t.tokens(),
+	})
 	if refused != "" {
-		f.refundRetry(t.service)
 		return placement{}, string(refused)
 	}
+	if !f.spendRetry(t.service) {
+		p.reservation.end(now, balance.Abandoned)
+		return placement{}, "retry_budget_used_up"
+	}
 	f.cfg.Metrics.CountRetry(t.service)
 	return p, ""
 }
