--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -26,11 +26,12 @@
 )
 
 // run executes the phases of a run in turn: the first order, faults, recovery,
-// planned operations without faults, and the final checks.
+// pauses of endpoints and planned operations without faults, the checks after them,
+// and the final fault.
 func (s *Site) run(random *rand.Rand) {
 	runCtx, stopRun := context.WithCancel(context.Background())
 	defer stopRun()
-	version, body := s.versions.next(0, false)
+	version, body := s.versions.next(defaultTable(0), false)
 	startCtx, stopStart := context.WithTimeout(runCtx, startTimeout)
 	defer stopStart()
 	if !s.order(startCtx, version, body, random) {
@@ -59,8 +60,12 @@
 	operators.Wait()
 	s.activeFaults.Wait()
 	s.awaitRecovery(runCtx, random)
+	s.runPauses(runCtx, random)
 	s.runPlannedOperations(runCtx, random)
 	s.checkConvergence(runCtx)
+	if s.config.FinalFault {
+		s.runFinalFault(runCtx, random)
+	}
 	stopRun()
 	s.background.Wait()
 }
@@ -96,15 +101,26 @@
 // relayOf returns the relay in front of a control host.
 func (s *Site) relayOf(p *Process) *relay.Relay { return s.relays[slices.Index(s.controls, p)] }
 
-// awaitRecovery waits until the site acknowledges an order and every router serves
-// each kind of request again after the last fault.
+// awaitRecovery waits until the site serves again after the faults, and then until it
+// has stabilized.
 func (s *Site) awaitRecovery(ctx context.Context, random *rand.Rand) {
+	if !s.awaitServing(ctx, random, "the last fault") {
+		return
+	}
+	sleep(ctx, stabilizationTime)
+	s.faultFreeFrom = s.since() - stabilizationTime
+}
+
+// awaitServing waits until the site acknowledges an order and every router serves
+// each kind of request. It returns false, and reports it, if that takes longer than
+// recoveryTimeout after the fault.
+func (s *Site) awaitServing(ctx context.Context, random *rand.Rand, fault string) bool {
 	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	version, body := s.versions.next(0, false)
+	version, body := s.versions.next(defaultTable(0), false)
 	if !s.order(bounded, version, body, random) {
-		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v after the last fault", recoveryTimeout)
-		return
+		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v after %s", recoveryTimeout, fault)
+		return false
 	}
 	for i := range s.routers {
 		for served := 0; served < len(requestKinds); {
@@ -113,13 +129,12 @@
 			if r.complete && r.status == http.StatusOK {
 				served++
 			} else if !sleep(bounded, probeInterval) {
-				s.recorder.addFinding("RECOVER", "%s did not serve a %s within %v after the last fault: status %d, error %v", s.routers[i].name(), r.kind.name, recoveryTimeout, r.status, r.failure)
-				return
+				s.recorder.addFinding("RECOVER", "%s did not serve a %s within %v after %s: status %d, error %v", s.routers[i].name(), r.kind.name, recoveryTimeout, fault, r.status, r.failure)
+				return false
 			}
 		}
 	}
-	sleep(ctx, stabilizationTime)
-	s.faultFreeFrom = s.since() - stabilizationTime
+	return true
 }
 
 // runPlannedOperations restarts a router, lets an endpoint leave and sends an
@@ -127,19 +142,11 @@
 func (s *Site) runPlannedOperations(ctx context.Context, random *rand.Rand) {
 	var work sync.WaitGroup
 	defer work.Wait()
-	work.Go(func() {
-		p := s.routers[0]
-		if !s.stop(p) {
-			s.recorder.addFinding("ENDED", "%s did not exit within %v of SIGTERM", p.name(), shutdownTimeout)
-		}
-		if err := p.start(); err != nil {
-			s.recorder.addFinding("SOAK", "%v", err)
-		}
-	})
+	work.Go(func() { s.restartPlanned(s.routers[0]) })
 	work.Go(func() { s.endpoints[0].leave(ctx) })
 	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
-	version, body := s.versions.next(0, false)
+	version, body := s.versions.next(defaultTable(0), false)
 	if !s.order(bounded, version, body, random) {
 		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v without faults", recoveryTimeout)
 		return
@@ -152,6 +159,17 @@
 	}
 }
 
+// restartPlanned stops a process gracefully and starts it again.
+func (s *Site) restartPlanned(p *Process) {
+	s.recorder.addFault("%s restarts as planned", p.name())
+	if !s.stop(p) {
+		s.recorder.addFinding("ENDED", "%s did not exit within %v of SIGTERM", p.name(), shutdownTimeout)
+	}
+	if err := p.start(); err != nil {
+		s.recorder.addFinding("SOAK", "%v", err)
+	}
+}
+
 // checkConvergence checks that all control hosts return the newest acknowledged
 // routing table within recoveryTimeout.
 func (s *Site) checkConvergence(ctx context.Context) {
