Log when a request's body was read and when it was sent on

Requests that reach an endpoint seconds after they came were only known by when they were placed. A wait for the body, one for a place and one between the placement and the first byte sent could not be told apart. Events 201, 202, 203 and 205 now carry body_read_ms and sent_ms.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -21,6 +21,7 @@
 		MaxAnswerBytes: f.cfg.MaxAnswerBytes, Stream: t.route.Kind == routing.Streaming,
 		Idempotent: t.route.Idempotent(), Pooled: t.route.Kind != routing.Unsafe,
 		Raw: true, RequireEcho: true, OnNotice: func(n endpoint.Notice) { f.recordNotice(t, p, n) },
+		OnSent: func() { t.sentAt.Store(time.Now().UnixNano()) },
 	}
 }
 
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -138,6 +138,11 @@
 	// event or the answer. placedAt is the time of that placement.
 	predicted time.Duration
 	placedAt  time.Time
+	// bodyReadAt is when the whole body had been read, and sentAt when the request was
+	// last written to an endpoint, in Unix nanoseconds; both are zero before that. sentAt
+	// is set by the goroutine that writes.
+	bodyReadAt time.Time
+	sentAt     atomic.Int64
 	// origin is where the stream began; nil for one that has not begun, and for other
 	// requests.
 	origin *streams.Origin
@@ -217,6 +222,17 @@
 	}
 }
 
+// addWaits adds when, after the arrival, the body had been read and the request was
+// last written to an endpoint.
+func (t *task) addWaits(fields event.Fields) {
+	if !t.bodyReadAt.IsZero() {
+		fields["body_read_ms"] = t.bodyReadAt.Sub(t.request.ReceivedAt).Milliseconds()
+	}
+	if sent := t.sentAt.Load(); sent != 0 {
+		fields["sent_ms"] = time.Unix(0, sent).Sub(t.request.ReceivedAt).Milliseconds()
+	}
+}
+
 // endFields returns the log fields of the end of a request.
 func (t *task) endFields(took time.Duration) event.Fields {
 	fields := t.logFields()
@@ -224,6 +240,7 @@
 	if t.answer.sent {
 		fields["longest_pause_ms"] = t.answer.longestPause.Milliseconds()
 	}
+	t.addWaits(fields)
 	return fields
 }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -110,6 +110,7 @@
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		t.bodyReadAt = time.Now()
 		return nil
 	case errors.As(err, &tooLarge):
 		return &failure{status: http.StatusRequestEntityTooLarge, outcome: OutcomeNotRun, code: CodeBodyTooLarge, message: "the body is too large"}
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -84,7 +84,11 @@
 	call := a.forwarder.call(now, a.task, p)
 	call.OnSilence = func(time.Duration) {} // There is no third endpoint to wait for.
 	if a.task.isStream() {
-		call.OnSent = func() { time.AfterFunc(refusalWait, second.claimUnlessRefused) }
+		recordSent := call.OnSent
+		call.OnSent = func() {
+			recordSent()
+			time.AfterFunc(refusalWait, second.claimUnlessRefused)
+		}
 	}
 	a.mu.Lock()
 	a.second = second
