Check right before a request is written whether its caller has left

What callers saw: GONE on grown sites; requests reached an engine more than half a second after their callers had left.

Cause: whether the caller has left, and whether its deadline has passed, was checked before the call to the endpoint. The call then waits for a connection and for three goroutines in turn, one of which writes it.

The check is now made again under the connection's lock when the first byte is about to be written, so nothing lies between it and the write. A call that is ended there has not been sent, and counts neither against the endpoint nor as an attempt.

TestRequestIsNotSentAfterWaitForConnection failed before: the endpoint got the request.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
@@ -184,7 +185,7 @@
 // finalFailure returns the failure of a request after its last attempt.
 func (f *Forwarder) finalFailure(ctx context.Context, t *task, err *endpoint.CallError) *failure {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, endpoint.ErrCallerDisconnected):
 		return callerGone()
 	case !time.Now().Before(t.deadline) && t.mayHaveRun:
 		return &failure{status: 504, outcome: OutcomeFailed, code: CodeTimeout, message: "no complete answer before the deadline"}
--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"time"
 
 	"oleanderramp/internal/endpoint"
@@ -10,7 +11,7 @@
 )
 
 // call returns the call to the endpoint of the placement.
-func (f *Forwarder) call(now time.Time, t *task, p placement) endpoint.Call {
+func (f *Forwarder) call(ctx context.Context, now time.Time, t *task, p placement) endpoint.Call {
 	left := t.deadline.Sub(now)
 	send := ForwardInfo{TimeLeft: left, Account: t.account, Endpoint: p.choice.Endpoint.ID, Source: p.choice.Source.Address, LastEvent: t.answer.lastEvent}
 	return endpoint.Call{
@@ -21,7 +22,8 @@
 		MaxAnswerBytes: f.cfg.MaxAnswerBytes, Stream: t.route.Kind == routing.Streaming,
 		Idempotent: t.route.Idempotent(), Pooled: t.route.Kind != routing.Unsafe,
 		Raw: true, RequireEcho: true, OnNotice: func(n endpoint.Notice) { f.recordNotice(t, p, n) },
-		OnSent: func() { t.sentAt.Store(time.Now().UnixNano()) },
+		CallerDisconnected: func() bool { return f.cfg.CallerDisconnected(ctx) },
+		OnSent:             func() { t.sentAt.Store(time.Now().UnixNano()) },
 	}
 }
 
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -89,6 +89,21 @@
 	lag, unsynced atomic.Int64
 	// disconnected is the result of Config.CallerDisconnected.
 	disconnected atomic.Bool
+	// beforeCall is called before each call to an endpoint; nil for none.
+	beforeCall func()
+}
+
+// hookedEndpoints calls site.beforeCall before each call.
+type hookedEndpoints struct {
+	*endpoint.Client
+	site *site
+}
+
+func (e hookedEndpoints) Do(ctx context.Context, call endpoint.Call, sink endpoint.Sink) (endpoint.Result, error) {
+	if e.site.beforeCall != nil {
+		e.site.beforeCall()
+	}
+	return e.Client.Do(ctx, call, sink)
 }
 
 func document() routing.Document {
@@ -143,7 +158,7 @@
 	adapter := platform.Adapter{}
 	client := endpoint.NewClient(endpoint.ClientConfig{Headers: adapter.Headers()})
 	s.forwarder = edge.New(edge.Config{
-		Codec: adapter, Endpoints: client, Tables: s.tables, Admission: admission, Metrics: noMetrics{},
+		Codec: adapter, Endpoints: hookedEndpoints{Client: client, site: s}, Tables: s.tables, Admission: admission, Metrics: noMetrics{},
 		TooManyConnections: func() bool { return false }, CallerDisconnected: func(context.Context) bool { return s.disconnected.Load() }, Lag: func() time.Duration { return time.Duration(s.lag.Load()) },
 		UnsyncedFor: func() time.Duration { return time.Duration(s.unsynced.Load()) },
 		Log:         l, MaxAnswerBytes: 1 << 20,
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -51,7 +51,7 @@
 	a := &attempt{forwarder: f, task: t, ctx: ctx}
 	a.first = a.newCall(p)
 	t.answer.startAttempt(p.reservation)
-	call := f.call(time.Now(), t, p)
+	call := f.call(caller, time.Now(), t, p)
 	if t.route.Idempotent() {
 		call.OnSilence = a.hedge
 	}
@@ -81,7 +81,7 @@
 		return
 	}
 	second := a.newCall(p)
-	call := a.forwarder.call(now, a.task, p)
+	call := a.forwarder.call(a.ctx, now, a.task, p)
 	call.OnSilence = func(time.Duration) {} // There is no third endpoint to wait for.
 	if a.task.isStream() {
 		recordSent := call.OnSent
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -56,6 +56,10 @@
 	// cancelled with the cause ErrSilent. If OnSilence is nil, the call ends. While it
 	// runs, no method of the sink does.
 	OnSilence func(silent time.Duration)
+	// CallerDisconnected reports whether the caller has disconnected. It is called right
+	// before the request is written to a connection; if it returns true, the call ends
+	// with the cause ErrCallerDisconnected and nothing is written. Optional.
+	CallerDisconnected func() bool
 	// OnSent is called once the request has been written to a connection. Optional.
 	OnSent func()
 	// Pooled lets a call that is not idempotent use an idle connection. If the
@@ -92,6 +96,10 @@
 	FirstByte time.Duration
 }
 
+// ErrCallerDisconnected is the cause with which a call ends that was not sent because
+// its caller had disconnected.
+var ErrCallerDisconnected = errors.New("the caller has disconnected")
+
 // Do makes the call and passes the response to sink. The error is nil if and
 // only if Result.Complete is true; otherwise it is a *CallError. The request is
 // sent at most once: Do retries, on a new connection, only if an idle connection
@@ -224,10 +232,24 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = conn
-	a.writesBefore = conn.writeCount()
+	a.writesBefore = conn.beginRequest(a.stillWanted)
 	a.reused = info.Reused
 }
 
+// stillWanted reports whether the caller still waits for the response. If not, the call
+// ends. It is asked right before the request is written: to get a connection, and
+// processor time, may have taken long.
+func (a *attempt) stillWanted() bool {
+	now := time.Now()
+	if deadline, ok := a.ctx.Deadline(); ok && !now.Before(deadline) {
+		a.cancel(context.DeadlineExceeded)
+	}
+	if a.call.CallerDisconnected != nil && a.call.CallerDisconnected() {
+		a.cancel(ErrCallerDisconnected)
+	}
+	return a.ctx.Err() == nil
+}
+
 // wroteRequest reports that the request has been sent.
 func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
 	if a.call.OnSent != nil && info.Err == nil {
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -16,23 +16,40 @@
 	mu      sync.Mutex
 	writes  int
 	aborted bool
+	// allowed reports whether the next write may start; nil if it may.
+	allowed func() bool
 }
 
 // Write counts the write before it starts.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if !c.beginWrite() {
+		return 0, errAborted
+	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite counts a write and reports whether it may start. If it may not, no later
+// write may.
+func (c *countingConn) beginWrite() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.allowed != nil && !c.aborted {
+		c.aborted = !c.allowed()
+		c.allowed = nil
+	}
 	if c.aborted {
-		c.mu.Unlock()
-		return 0, errAborted
+		return false
 	}
 	c.writes++
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return true
 }
 
-func (c *countingConn) writeCount() int {
+// beginRequest makes the next write start only if allowed returns true. It returns the
+// number of writes so far.
+func (c *countingConn) beginRequest(allowed func() bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.allowed = allowed
 	return c.writes
 }
 
