Tell endpoints the time left when there is a connection to them

Cause: the time that is left was put into the request's header before the call waited for a connection. An endpoint counts it from when the request arrives, so it worked on for as long as the router had waited, up to 1.0 s on a router without processor time.

The header is now set when the connection is there. The wait for the goroutine that writes remains.

--- a/internal/edge/call.go
+++ b/internal/edge/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"oleanderramp/internal/endpoint"
@@ -22,6 +23,7 @@
 		MaxAnswerBytes: f.cfg.MaxAnswerBytes, Stream: t.route.Kind == routing.Streaming,
 		Idempotent: t.route.Idempotent(), Pooled: t.route.Kind != routing.Unsafe,
 		Raw: true, RequireEcho: true, OnNotice: func(n endpoint.Notice) { f.recordNotice(t, p, n) },
+		OnConnected:        func(header http.Header) { f.cfg.Codec.SetTimeLeft(header, time.Until(t.deadline)) },
 		CallerDisconnected: func() bool { return f.cfg.CallerDisconnected(ctx) },
 		OnSent:             func() { t.sentAt.Store(time.Now().UnixNano()) },
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -66,6 +66,8 @@
 	Decode(r *http.Request) *Request
 	// Outgoing returns the header for an endpoint.
 	Outgoing(request *Request, send ForwardInfo) http.Header
+	// SetTimeLeft changes ForwardInfo.TimeLeft in a header for an endpoint.
+	SetTimeLeft(header http.Header, left time.Duration)
 }
 
 // Endpoints calls endpoints.
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -56,6 +56,9 @@
 	// cancelled with the cause ErrSilent. If OnSilence is nil, the call ends. While it
 	// runs, no method of the sink does.
 	OnSilence func(silent time.Duration)
+	// OnConnected may change the header of the request when there is a connection, before
+	// the request is written. Optional.
+	OnConnected func(header http.Header)
 	// CallerDisconnected reports whether the caller has disconnected. It is called right
 	// before the request is written to a connection; if it returns true, the call ends
 	// with the cause ErrCallerDisconnected and nothing is written. Optional.
@@ -180,6 +183,10 @@
 	start   time.Time
 	result  Result
 
+	// requestHeader is the header of the request. It does not change once the request is
+	// being written.
+	requestHeader http.Header
+
 	mu sync.Mutex
 	// conn is the connection in use, nil until there is one.
 	conn *countingConn
@@ -224,32 +231,6 @@
 	return callErr
 }
 
-func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countingConn)
-	if !ok {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conn = conn
-	a.writesBefore = conn.beginRequest(a.stillWanted)
-	a.reused = info.Reused
-}
-
-// stillWanted reports whether the caller still waits for the response. If not, the call
-// ends. It is asked right before the request is written: to get a connection, and
-// processor time, may have taken long.
-func (a *attempt) stillWanted() bool {
-	now := time.Now()
-	if deadline, ok := a.ctx.Deadline(); ok && !now.Before(deadline) {
-		a.cancel(context.DeadlineExceeded)
-	}
-	if a.call.CallerDisconnected != nil && a.call.CallerDisconnected() {
-		a.cancel(ErrCallerDisconnected)
-	}
-	return a.ctx.Err() == nil
-}
-
 // wroteRequest reports that the request has been sent.
 func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
 	if a.call.OnSent != nil && info.Err == nil {
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -1,9 +1,12 @@
 package endpoint
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 var errAborted = errors.New("connection was aborted")
@@ -63,3 +66,33 @@
 	_ = c.Close()
 	return writes
 }
+
+// gotConn is called when the attempt has a connection, before the request is written.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	if a.call.OnConnected != nil {
+		a.call.OnConnected(a.requestHeader)
+	}
+	conn, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = conn
+	a.writesBefore = conn.beginRequest(a.stillWanted)
+	a.reused = info.Reused
+}
+
+// stillWanted reports whether the caller still waits for the response. If not, the call
+// ends. It is asked right before the request is written: to get a connection, and
+// processor time, may have taken long.
+func (a *attempt) stillWanted() bool {
+	now := time.Now()
+	if deadline, ok := a.ctx.Deadline(); ok && !now.Before(deadline) {
+		a.cancel(context.DeadlineExceeded)
+	}
+	if a.call.CallerDisconnected != nil && a.call.CallerDisconnected() {
+		a.cancel(ErrCallerDisconnected)
+	}
+	return a.ctx.Err() == nil
+}
--- a/internal/endpoint/request.go
+++ b/internal/endpoint/request.go
@@ -37,6 +37,7 @@
 		// An empty value keeps the transport from adding its own User-Agent.
 		request.Header.Set("User-Agent", "")
 	}
+	a.requestHeader = request.Header
 	request.ContentLength = int64(len(a.call.Body))
 	if a.call.replayable() {
 		request.Body = http.NoBody
