Shed requests by how long network events have waited

What callers saw: GONE and FAIR on grown sites, and requests without an answer until their deadlines, at the one or two routers that a flooding account's callers reach.

Cause: a router sheds requests by its scheduling latency, the mean over all goroutines. Most of these are woken by the one that runs and start at once; those that wait for the network are few, and what they wait before the network is polled is not counted.

The class: an average over cheap and frequent events hides the delay of the rare ones that matter.

Requests are now also shed, and new connections closed unread, by the shortest delay of such probes within 200 ms. The shortest is taken, as CoDel does, so that a burst or a pause of a machine with a processor quota is no overload. While a probe is on its way, its age counts, so the measure needs no processor time to rise.

Short delays remain: the measure rises 200 ms after a flood begins.

--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -35,6 +35,9 @@
 	CallerDisconnected func(ctx context.Context) bool
 	// Lag returns how long runnable work of this daemon waits for the processor.
 	Lag func() time.Duration
+	// StandingLag returns how long each network event has waited lately for this daemon
+	// to notice it. Optional.
+	StandingLag func() time.Duration
 	// UnsyncedFor returns the time since a control host last answered this
 	// daemon.
 	UnsyncedFor func() time.Duration
@@ -68,6 +71,9 @@
 	if cfg.Admission != nil {
 		cfg.Admission.lag = cfg.Lag
 	}
+	if cfg.StandingLag == nil {
+		cfg.StandingLag = func() time.Duration { return 0 }
+	}
 	return &Forwarder{
 		cfg: cfg, crashes: newCrashTracker(cfg.Log), streams: newStreamTracker(),
 		budget: retry.New(retry.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -68,7 +68,8 @@
 		maps.Copy(line, shareFields(f.cfg.Admission.share(now, t.account)))
 	}
 	line["overload"], line["left_out"] = string(t.overload), leftOut
-	line["lag_ms"], line["unsynced_ms"] = f.cfg.Lag().Milliseconds(), f.cfg.UnsyncedFor().Milliseconds()
+	line["lag_ms"], line["standing_lag_ms"] = f.cfg.Lag().Milliseconds(), f.cfg.StandingLag().Milliseconds()
+	line["unsynced_ms"] = f.cfg.UnsyncedFor().Milliseconds()
 	event.RequestRefused.Log(f.cfg.Log, line)
 }
 
@@ -81,7 +82,7 @@
 	if f.starved() {
 		return overloadUnsynced
 	}
-	lag := f.cfg.Lag()
+	lag := f.lag()
 	if lag <= shedStartLag {
 		return ""
 	}
@@ -91,18 +92,21 @@
 	return ""
 }
 
+// lag returns how long work waits for this daemon, by the measure that shows more.
+func (f *Forwarder) lag() time.Duration { return max(f.cfg.Lag(), f.cfg.StandingLag()) }
+
 // starved reports whether this daemon is too overloaded to communicate with its
 // control hosts.
 func (f *Forwarder) starved() bool {
-	return f.cfg.Lag() >= starvedLag && f.cfg.UnsyncedFor() >= starvedUnsynced
+	return f.lag() >= starvedLag && f.cfg.UnsyncedFor() >= starvedUnsynced
 }
 
 // Overwhelmed reports whether this daemon refuses all requests because it is
 // overloaded, and has not even the processor time to read them.
-func (f *Forwarder) Overwhelmed() bool { return f.cfg.Lag() >= closeUnreadLag || f.starved() }
+func (f *Forwarder) Overwhelmed() bool { return f.lag() >= closeUnreadLag || f.starved() }
 
 // Overloaded reports whether this daemon is refusing most of its requests.
-func (f *Forwarder) Overloaded() bool { return f.cfg.Lag() >= (shedStartLag+shedAllLag)/2 }
+func (f *Forwarder) Overloaded() bool { return f.lag() >= (shedStartLag+shedAllLag)/2 }
 
 // shed reports whether to refuse a request at the given lag. Requests with
 // shedFirst set are all refused before any other is. random is uniform in
--- a/internal/edge/shed_test.go
+++ b/internal/edge/shed_test.go
@@ -87,3 +87,21 @@
 	_, logged = shareFields(admission.share(now.Add(time.Second/10), "alone"))["spare_tokens"]
 	c.Check(logged, qt.IsTrue)
 }
+
+// TestStandingLagShedsRequests guards against a router that admits requests although its
+// work waits for long, as the scheduling latency does not show it.
+func TestStandingLagShedsRequests(t *testing.T) {
+	c := qt.New(t)
+	standing := 2 * shedAllLag
+	f := New(Config{
+		Admission: newTestAdmission(c, 4, 1000), Lag: func() time.Duration { return 0 }, UnsyncedFor: func() time.Duration { return 0 },
+		StandingLag: func() time.Duration { return standing },
+	})
+	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadLag)
+	c.Check(f.Overloaded(), qt.IsTrue)
+	standing = closeUnreadLag
+	c.Check(f.Overwhelmed(), qt.IsTrue)
+	standing = 0
+	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadReason(""))
+	c.Check(f.Overwhelmed(), qt.IsFalse)
+}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -94,10 +94,11 @@
 	draining atomic.Bool
 	table    atomic.Pointer[routing.Table]
 	// lastSync is when a control host last answered; nil before that.
-	lastSync atomic.Pointer[time.Time]
-	lag      lagMeter
-	stop     context.CancelFunc
-	done     sync.WaitGroup
+	lastSync    atomic.Pointer[time.Time]
+	lag         lagMeter
+	standingLag *standingLag
+	stop        context.CancelFunc
+	done        sync.WaitGroup
 
 	// mu guards the fields below.
 	mu        sync.Mutex
@@ -155,7 +156,8 @@
 func newRouter(d *Daemon) *router {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &router{
-		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, started: time.Now(), dialer: d.dialer, stop: cancel,
+		standingLag: newStandingLag(ctx),
+		settings:    d.settings, adapter: d.adapter, log: d.log, self: d.self, started: time.Now(), dialer: d.dialer, stop: cancel,
 		admission: edge.NewAdmissionController(d.settings.Region, d.settings.ShareWindow()),
 		hosts:     discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
 		cursors: make(map[string]syncCursor), primaryFailures: make(map[string]time.Time), sentLoads: newSentLoads(),
@@ -170,7 +172,7 @@
 		return 0
 	}, func() bool { return r.forwarder.Overwhelmed() })
 	r.forwarder = edge.New(edge.Config{
-		TooManyConnections: r.conns.overSoftLimit, CallerDisconnected: callerDisconnected, Lag: r.lag.value, UnsyncedFor: r.Unsynced, MaxActive: maxActiveRequests(d.settings),
+		TooManyConnections: r.conns.overSoftLimit, CallerDisconnected: callerDisconnected, Lag: r.lag.value, StandingLag: r.StandingLag, UnsyncedFor: r.Unsynced, MaxActive: maxActiveRequests(d.settings),
 		Codec: d.adapter, Endpoints: r.client, Tables: r, Admission: r.admission, Log: d.log,
 		FindStream: r.findStream,
 		Metrics:    telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
@@ -218,6 +220,9 @@
 // Lag returns the scheduling latency of this process.
 func (r *router) Lag() time.Duration { return r.lag.value() }
 
+// StandingLag returns how long each network event has waited lately for this process.
+func (r *router) StandingLag() time.Duration { return r.standingLag.value(time.Now()) }
+
 // Endpoints returns the number of endpoints that may get requests.
 func (r *router) Endpoints() int {
 	r.mu.Lock()
@@ -269,6 +274,7 @@
 func (r *router) Close() error {
 	r.stop()
 	r.done.Wait()
+	r.standingLag.close()
 	r.client.Close()
 	return nil
 }
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -126,6 +126,7 @@
 type RouterState interface {
 	RoutingVersion() uint64
 	Lag() time.Duration
+	StandingLag() time.Duration
 	Unsynced() time.Duration
 	Endpoints() int
 	Active() int
@@ -139,6 +140,8 @@
 		func() float64 { return float64(r.RoutingVersion()) })
 	RegisterGauge(registry, "oleanderramp_processor_wait_seconds", "Scheduling latency: how long a runnable goroutine of the router waits for a processor.",
 		func() float64 { return r.Lag().Seconds() })
+	RegisterGauge(registry, "oleanderramp_network_wait_seconds", "How long each network event has waited lately for the router to notice it.",
+		func() float64 { return r.StandingLag().Seconds() })
 	RegisterGauge(registry, "oleanderramp_unsynced_seconds", "Time since a control host last answered.",
 		func() float64 { return r.Unsynced().Seconds() })
 	RegisterGauge(registry, "oleanderramp_endpoints", "Endpoints to which requests may be routed.",
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -21,13 +21,14 @@
 
 type idleRouter struct{}
 
-func (idleRouter) RoutingVersion() uint64    { return 0 }
-func (idleRouter) Lag() time.Duration        { return 0 }
-func (idleRouter) Unsynced() time.Duration   { return 0 }
-func (idleRouter) Endpoints() int            { return 0 }
-func (idleRouter) Active() int               { return 0 }
-func (idleRouter) Connections() int          { return 0 }
-func (idleRouter) RefusedConnections() int64 { return 0 }
+func (idleRouter) RoutingVersion() uint64     { return 0 }
+func (idleRouter) Lag() time.Duration         { return 0 }
+func (idleRouter) StandingLag() time.Duration { return 0 }
+func (idleRouter) Unsynced() time.Duration    { return 0 }
+func (idleRouter) Endpoints() int             { return 0 }
+func (idleRouter) Active() int                { return 0 }
+func (idleRouter) Connections() int           { return 0 }
+func (idleRouter) RefusedConnections() int64  { return 0 }
 
 // TestMetricsPage checks that the table in docs/OPERATIONS.md lists exactly the
 // registered metrics, each with its labels.
