Close queued connections without setting them up

Cause: a router without processor time closes new connections unread, but it accepted each as one to be served: registered with the poller, three socket options for keep-alive and one for delay set, closed and deregistered.

While there is reason to close, the connections that are queued are now taken from the listening socket and closed, two system calls each.

--- /dev/null
+++ b/internal/site/closeunread_test.go
@@ -0,0 +1,64 @@
+package site
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestCloseQueuedStopsInTime checks that queued connections are closed while there is
+// reason to, and that later ones stay for Accept.
+func TestCloseQueuedStopsInTime(t *testing.T) {
+	const queued, closed = 5, 3
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	c.Check(closeQueued(listener, func() bool { return true }), qt.Equals, int64(0))
+	for range queued {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+	}
+	left := closed
+	got := closeQueued(listener, func() bool { left--; return left >= 0 })
+	c.Check(got, qt.Equals, int64(closed))
+	for range queued - closed {
+		conn, err := listener.Accept()
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+	}
+}
+
+// TestQueuedConnectionsAreClosedWhileOverloaded guards against callers that wait for a
+// router that is too short of processor time to close their connections.
+func TestQueuedConnectionsAreClosedWhileOverloaded(t *testing.T) {
+	const callers = 20
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	open := newConnections(0, 0, func() time.Duration { return 0 }, func() bool { return true })
+	listener := &boundedListener{Listener: inner, open: open}
+	conns := make([]net.Conn, callers)
+	for i := range conns {
+		conns[i], err = net.Dial("tcp", inner.Addr().String())
+		c.Assert(err, qt.IsNil)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, err := listener.Accept()
+		c.Check(err, qt.ErrorIs, net.ErrClosed)
+	}()
+	for _, conn := range conns {
+		_, err := conn.Read(make([]byte, 1))
+		c.Check(err, qt.Equals, io.EOF)
+		_ = conn.Close()
+	}
+	c.Assert(inner.Close(), qt.IsNil)
+	<-done
+	c.Check(open.rejected.Load(), qt.Equals, int64(callers))
+}
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -79,14 +79,17 @@
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || !l.open.full() && !l.open.overwhelmed() {
+		if err != nil || !l.rejects() {
 			return conn, err
 		}
-		l.open.rejected.Add(1)
 		_ = conn.Close() // The caller may have disconnected.
+		l.open.rejected.Add(1 + closeQueued(l.Listener, l.rejects))
 	}
 }
 
+// rejects reports whether new connections are closed.
+func (l *boundedListener) rejects() bool { return l.open.full() || l.open.overwhelmed() }
+
 // connections tracks the open connections of a server and closes those that are
 // idle for too long. It is safe for concurrent use.
 type connections struct {
