--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -47,7 +47,7 @@
 	now := time.Now()
 	a.first = a.newCall(now, p)
 	t.answer.startAttempt(p.reservation)
-	call := f.call(now, t, p)
+	call := f.call(caller, now, t, p)
 	if t.route.Idempotent() {
 		call.OnSilence = a.hedge
 	}
@@ -76,7 +76,7 @@
 		return
 	}
 	second := a.newCall(now, p)
-	call := a.forwarder.call(now, a.task, p)
+	call := a.forwarder.call(a.ctx, now, a.task, p)
 	call.OnSilence = func(time.Duration) {} // There is no third endpoint to wait for.
 	a.mu.Lock()
 	a.second = second
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -57,6 +57,15 @@
 	// cancelled with the cause ErrSilent. If OnSilence is nil, the call ends. While it
 	// runs, no method of the sink does.
 	OnSilence func(silent time.Duration)
+	// OnConnected may change the header of the request when there is a connection, before
+	// the request is written. Optional.
+	OnConnected func(header http.Header)
+	// CallerDisconnected reports whether the caller has disconnected. It is called right
+	// before the request is written to a connection; if it returns true, the call ends
+	// with the cause ErrCallerDisconnected and nothing is written. Optional.
+	CallerDisconnected func() bool
+	// OnSent is called once the request has been written to a connection. Optional.
+	OnSent func()
 	// Pooled lets a call that is not idempotent use an idle connection. If the
 	// endpoint closes that connection at the same moment, it is unknown whether
 	// the call ran.
@@ -92,6 +101,10 @@
 	FirstByte time.Duration
 }
 
+// ErrCallerDisconnected is the cause with which a call ends that was not sent because
+// its caller had disconnected.
+var ErrCallerDisconnected = errors.New("the caller has disconnected")
+
 // Do makes the call and passes the response to sink. The error is nil if and
 // only if Result.Complete is true; otherwise it is a *CallError. The request is
 // sent at most once: Do retries, on a new connection, only if an idle connection
@@ -172,6 +185,10 @@
 	start   time.Time
 	result  Result
 
+	// requestHeader is the header of the request. It does not change once the request is
+	// being written.
+	requestHeader http.Header
+
 	mu sync.Mutex
 	// conn is the connection in use, nil until there is one.
 	conn *countingConn
@@ -216,16 +233,11 @@
 	return callErr
 }
 
-func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countingConn)
-	if !ok {
-		return
+// wroteRequest reports that the request has been sent.
+func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
+	if a.call.OnSent != nil && info.Err == nil {
+		a.call.OnSent()
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conn = conn
-	a.writesBefore = conn.writeCount()
-	a.reused = info.Reused
 }
 
 // abandonedConn describes the connection of a call that was given up.
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -1,9 +1,12 @@
 package endpoint
 
 import (
+	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"sync"
+	"time"
 )
 
 var errAborted = errors.New("connection was aborted")
@@ -16,23 +19,40 @@
 	mu      sync.Mutex
 	writes  int
 	aborted bool
+	// allowed reports whether the next write may start; nil if it may.
+	allowed func() bool
 }
 
 // Write counts the write before it starts.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if !c.beginWrite() {
+		return 0, errAborted
+	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite counts a write and reports whether it may start. If it may not, no later
+// write may.
+func (c *countingConn) beginWrite() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.allowed != nil && !c.aborted {
+		c.aborted = !c.allowed()
+		c.allowed = nil
+	}
 	if c.aborted {
-		c.mu.Unlock()
-		return 0, errAborted
+		return false
 	}
 	c.writes++
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return true
 }
 
-func (c *countingConn) writeCount() int {
+// beginRequest makes the next write start only if allowed returns true. It returns the
+// number of writes so far.
+func (c *countingConn) beginRequest(allowed func() bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.allowed = allowed
 	return c.writes
 }
 
@@ -46,3 +66,33 @@
 	_ = c.Close()
 	return writes
 }
+
+// gotConn is called when the attempt has a connection, before the request is written.
+func (a *attempt) gotConn(info httptrace.GotConnInfo) {
+	if a.call.OnConnected != nil {
+		a.call.OnConnected(a.requestHeader)
+	}
+	conn, ok := info.Conn.(*countingConn)
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = conn
+	a.writesBefore = conn.beginRequest(a.stillWanted)
+	a.reused = info.Reused
+}
+
+// stillWanted reports whether the caller still waits for the response. If not, the call
+// ends. It is asked right before the request is written: to get a connection, and
+// processor time, may have taken long.
+func (a *attempt) stillWanted() bool {
+	now := time.Now()
+	if deadline, ok := a.ctx.Deadline(); ok && !now.Before(deadline) {
+		a.cancel(context.DeadlineExceeded)
+	}
+	if a.call.CallerDisconnected != nil && a.call.CallerDisconnected() {
+		a.cancel(ErrCallerDisconnected)
+	}
+	return a.ctx.Err() == nil
+}
