--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -128,6 +128,10 @@
 	CodeAnswerBroken  Code = "answer_broken"
 	CodeTimeout       Code = "timeout"
 	CodeCallerGone    Code = "caller_gone"
+	// CodeConnectionClosed and CodeConnectionTimeout requests ended because this
+	// daemon ended the caller's connection.
+	CodeConnectionClosed  Code = "connection_closed"
+	CodeConnectionTimeout Code = "connection_timeout"
 )
 
 // failure describes a request that ended without a complete answer from the
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -48,7 +49,7 @@
 	if failed == nil {
 		failed = f.run(r.Context(), t)
 	}
-	f.finishAnswer(t, failed)
+	f.finishAnswer(r.Context(), t, failed)
 }
 
 // checkQuarantine refuses a request that is quarantined for crashing endpoints.
@@ -67,17 +68,18 @@
 const writeSlack = 500 * time.Millisecond
 
 // finishAnswer completes the answer or reports the failure to the caller.
-func (f *Forwarder) finishAnswer(t *task, failed *failure) {
+func (f *Forwarder) finishAnswer(ctx context.Context, t *task, failed *failure) {
 	a := t.answer
 	if failed == nil {
 		if err := a.finish(); err != nil {
 			failed = &failure{outcome: OutcomeAbandoned, code: CodeCallerGone, message: err.Error()}
 		}
 	}
+	failed = attributeEnd(ctx, failed)
 	f.recordEnd(t, failed)
 	switch {
 	case failed == nil:
-	case a.sent || failed.outcome == OutcomeAbandoned:
+	case a.sent || failed.connectionEnded():
 		// Aborting the connection shows the caller that the answer is
 		// incomplete.
 		panic(http.ErrAbortHandler)
--- /dev/null
+++ b/internal/site/acceptedconn.go
@@ -0,0 +1,182 @@
+package site
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"oleanderramp/internal/edge"
+)
+
+// idleLimit limits how long connections may be idle.
+type idleLimit interface {
+	// idleUntil returns until when a connection may stay open that is idle
+	// since the given time. first is true before its first request.
+	idleUntil(since time.Time, first bool) time.Time
+}
+
+// acceptedConn is a connection that a server has accepted. While it is idle, its
+// reader alone decides when it is closed, as no other goroutine knows whether a
+// request has begun to arrive. It also remembers how it ended.
+type acceptedConn struct {
+	*net.TCPConn
+	limit idleLimit
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// idleSince is when the latest request ended or the connection was accepted;
+	// zero from the first byte of a request on.
+	idleSince time.Time
+	// first is true until a request has ended.
+	first bool
+	// waiting is true while Read waits for the first byte of a request.
+	waiting bool
+	// readLast is true if bytes were read since the latest Write. begun is true if
+	// this was so when the connection became idle: the server reads ahead by one
+	// byte, which is then the first of the next request.
+	readLast, begun bool
+	// readErr and writeErr are the results of the latest Read and Write.
+	readErr, writeErr error
+}
+
+// newAcceptedConn returns the connection as its server uses it. Only TCP
+// connections, which are all that listeners accept, are wrapped.
+func newAcceptedConn(now time.Time, conn net.Conn, limit idleLimit) net.Conn {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return conn
+	}
+	return &acceptedConn{TCPConn: tcp, limit: limit, idleSince: now, first: true}
+}
+
+// setIdle marks the connection as idle since the end of a request.
+func (c *acceptedConn) setIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince, c.begun, c.first = now, c.readLast, false
+}
+
+// setActive marks the connection as one with a request in progress.
+func (c *acceptedConn) setActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince = time.Time{}
+}
+
+// recheckLimit makes a waiting Read check the limit again.
+func (c *acceptedConn) recheckLimit() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // On a closed connection the read fails.
+	}
+}
+
+// isIdle reports whether the connection waits for a request.
+func (c *acceptedConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleSince.IsZero()
+}
+
+// Read reads from the connection. On an idle connection it fails with a timeout
+// once the connection has been idle for too long and nothing has arrived.
+func (c *acceptedConn) Read(p []byte) (int, error) {
+	if !c.isIdle() {
+		n, err := c.TCPConn.Read(p)
+		c.endRead(time.Now(), n, err)
+		return n, err
+	}
+	for {
+		c.setIdleDeadline(time.Now())
+		n, err := c.TCPConn.Read(p)
+		now := time.Now()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.expired(now) {
+			c.endRead(now, n, err)
+			return n, err
+		}
+	}
+}
+
+// setIdleDeadline sets the deadline of the next read of an idle connection. What
+// has already arrived is read, however late.
+func (c *acceptedConn) setIdleDeadline(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	until := c.idleUntil()
+	if !until.After(now) && hasUnread(c.TCPConn) {
+		until = now.Add(readHeaderTimeout)
+	}
+	c.waiting = true
+	_ = c.SetReadDeadline(until) // On a closed connection the read fails.
+}
+
+// expired reports whether the connection has been idle for too long and nothing
+// has arrived. The limit may have changed since the deadline was set.
+func (c *acceptedConn) expired(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idleUntil().After(now) && !hasUnread(c.TCPConn)
+}
+
+// idleUntil returns until when the idle connection may stay open. The caller
+// holds c.mu.
+func (c *acceptedConn) idleUntil() time.Time {
+	until, header := c.limit.idleUntil(c.idleSince, c.first), c.idleSince.Add(readHeaderTimeout)
+	if c.begun && until.Before(header) {
+		return header
+	}
+	return until
+}
+
+// endRead records the result of a read. The first bytes of a request end the
+// idle time, and the rest of its header must follow in time.
+func (c *acceptedConn) endRead(now time.Time, n int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readErr, c.waiting = err, false
+	c.readLast = c.readLast || n > 0
+	if n > 0 && !c.idleSince.IsZero() {
+		c.idleSince = time.Time{}
+		_ = c.SetReadDeadline(now.Add(readHeaderTimeout)) // On a closed connection the next read fails.
+	}
+}
+
+// Write writes to the connection.
+func (c *acceptedConn) Write(p []byte) (int, error) {
+	c.startWrite()
+	n, err := c.TCPConn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeErr = err
+	return n, err
+}
+
+func (c *acceptedConn) startWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readLast = false
+}
+
+// End returns how the connection ended. It must not be called between two
+// requests, when the server itself interrupts its reads.
+func (c *acceptedConn) End() edge.ConnectionEnd {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	err := c.readErr
+	if err == nil {
+		err = c.writeErr
+	}
+	switch {
+	case err == nil:
+		return edge.ConnectionOpen
+	case errors.Is(err, net.ErrClosed):
+		return edge.ConnectionClosedByServer
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return edge.ConnectionTimedOut
+	default:
+		return edge.ConnectionClosedByCaller
+	}
+}
--- a/internal/site/disconnect.go
+++ b/internal/site/disconnect.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"oleanderramp/internal/edge"
 )
 
 // connKey is the key of a request's connection in its context.
@@ -12,6 +14,9 @@
 
 // withConn returns the context for the requests of a connection.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
+	if accepted, ok := conn.(*acceptedConn); ok {
+		ctx = edge.WithConnection(ctx, accepted)
+	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
@@ -23,15 +28,34 @@
 	if !ok {
 		return false
 	}
+	n, err := peek(conn)
+	return err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
+}
+
+// hasUnread reports whether bytes have arrived on the connection that were not
+// read yet.
+func hasUnread(conn syscall.Conn) bool {
+	n, err := peek(conn)
+	return err == nil && n > 0
+}
+
+// peek returns how much of one byte can be read from the connection's socket,
+// without reading it: 0 after the other side has closed the connection. The
+// error is EAGAIN if nothing has arrived, and net.ErrClosed if the connection is
+// closed on this side.
+func peek(conn syscall.Conn) (int, error) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return true // The connection is closed locally.
+		return 0, net.ErrClosed
 	}
-	disconnected := false
+	var n int
+	var recvErr error
 	err = raw.Control(func(fd uintptr) {
 		var next [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		disconnected = err == nil && n == 0 || errors.Is(err, syscall.ECONNRESET)
+		n, _, recvErr = syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return disconnected || err != nil
+	if err != nil {
+		return 0, net.ErrClosed
+	}
+	return n, recvErr
 }
--- a/internal/site/lastanswer_test.go
+++ b/internal/site/lastanswer_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -58,6 +59,9 @@
 	for active.Load() > 0 {
 		runtime.Gosched()
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	s.drain(ctx)
 	c.Check(s.close(), qt.IsNil)
 	callers.Wait()
 	return int(lost.Load())
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -34,6 +34,8 @@
 // server is an HTTP server with one listener.
 type server struct {
 	httpServer *http.Server
+	listener   net.Listener
+	open       *connections
 	done       sync.WaitGroup
 }
 
@@ -48,18 +50,36 @@
 	if err != nil {
 		return nil, err
 	}
-	listener = &boundedListener{Listener: listener, open: open}
-	s := &server{httpServer: &http.Server{
+	bounded := &boundedListener{Listener: listener, open: open}
+	s := &server{listener: listener, open: open, httpServer: &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: open.onStateChange, ConnContext: withConn,
 		// Errors of single connections are routine, and are not logged.
 		ErrorLog: stdlog.New(io.Discard, "", 0),
 	}}
 	s.done.Go(func() {
-		_ = s.httpServer.Serve(listener) // Returns when the server is closed.
+		_ = s.httpServer.Serve(bounded) // Returns when the listener is closed.
 	})
 	return s, nil
 }
 
+// drain accepts no more connections, closes those that are idle, and waits until
+// the others have answered their requests and are closed as well, or until the
+// context ends.
+func (s *server) drain(ctx context.Context) {
+	_ = s.listener.Close() // It may be closed already.
+	s.done.Wait()
+	s.open.closeIdle()
+	ticker := time.NewTicker(drainPollPeriod)
+	defer ticker.Stop()
+	for s.open.count() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // close closes the server and the connections of requests in progress.
 func (s *server) close() error {
 	err := s.httpServer.Close()
@@ -79,8 +99,11 @@
 func (l *boundedListener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err != nil || !l.rejects() {
-			return conn, err
+		if err != nil {
+			return nil, err
+		}
+		if !l.rejects() {
+			return newAcceptedConn(time.Now(), conn, l.open), nil
 		}
 		_ = conn.Close() // The caller may have disconnected.
 		l.open.rejected.Add(1 + closeQueued(l.Listener, l.rejects))
@@ -90,8 +113,8 @@
 // rejects reports whether new connections are closed.
 func (l *boundedListener) rejects() bool { return l.open.full() || l.open.overwhelmed() }
 
-// connections tracks the open connections of a server and closes those that are
-// idle for too long. It is safe for concurrent use.
+// connections tracks the open connections of a server and limits how long they
+// may be idle. It is safe for concurrent use.
 type connections struct {
 	// softLimit is the number of connections above which idle ones are closed
 	// early. hardLimit is the number at which new ones are refused; 0 for no
@@ -105,16 +128,16 @@
 
 	// rejected counts the connections closed on arrival.
 	rejected atomic.Int64
+	// closing is true once idle connections are closed without delay.
+	closing atomic.Bool
 
-	mu sync.Mutex
-	// open holds the idle timer of each idle connection, and nil for the
-	// others.
-	open map[net.Conn]*time.Timer
+	mu   sync.Mutex
+	open map[net.Conn]struct{}
 }
 
 func newConnections(softLimit, hardLimit int, idleTimeout func() time.Duration, overwhelmed func() bool) *connections {
 	return &connections{
-		softLimit: softLimit, hardLimit: hardLimit, configuredIdleTimeout: idleTimeout, overwhelmed: overwhelmed, open: make(map[net.Conn]*time.Timer),
+		softLimit: softLimit, hardLimit: hardLimit, configuredIdleTimeout: idleTimeout, overwhelmed: overwhelmed, open: make(map[net.Conn]struct{}),
 	}
 }
 
@@ -140,38 +163,81 @@
 
 // onStateChange tracks the state of a connection.
 func (c *connections) onStateChange(conn net.Conn, state http.ConnState) {
+	c.track(conn, state)
+	accepted, ok := conn.(*acceptedConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateIdle:
+		accepted.setIdle(time.Now())
+	case http.StateActive:
+		// Nothing is read for a pipelined request that is in the server's buffer.
+		accepted.setActive()
+	}
+}
+
+// track adds the connection to the open ones or removes it.
+func (c *connections) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if timer := c.open[conn]; timer != nil {
-		timer.Stop()
-	}
 	switch state {
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, conn)
-	case http.StateIdle:
-		var timer *time.Timer
-		timer = time.AfterFunc(c.idleTimeout(), func() { c.expire(conn, &timer) })
-		c.open[conn] = timer
 	default:
-		c.open[conn] = nil
+		c.open[conn] = struct{}{}
+	}
+}
+
+// closeIdle closes the connections that are idle, and from now on any other as
+// soon as it is idle.
+func (c *connections) closeIdle() {
+	c.closing.Store(true)
+	for _, conn := range c.accepted() {
+		conn.recheckLimit()
 	}
 }
 
-// expire closes a connection that is still idle. It only makes the server's
-// next read fail: a request that arrived in the meantime has not been
-// forwarded, so it is safe to lose.
-func (c *connections) expire(conn net.Conn, timer **time.Timer) {
+// accepted returns the open connections.
+func (c *connections) accepted() []*acceptedConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.open[conn] == *timer {
-		_ = conn.SetReadDeadline(time.Unix(1, 0)) // A connection without deadlines stays open.
+	var list []*acceptedConn
+	for conn := range c.open {
+		if accepted, ok := conn.(*acceptedConn); ok {
+			list = append(list, accepted)
+		}
+	}
+	return list
+}
+
+// busy returns the number of connections on which a request is in progress.
+func (c *connections) busy() int {
+	count := 0
+	for _, conn := range c.accepted() {
+		if !conn.isIdle() {
+			count++
+		}
+	}
+	return count
+}
+
+// idleUntil returns until when a connection may stay open that is idle since
+// the given time. first is true before its first request.
+func (c *connections) idleUntil(since time.Time, first bool) time.Time {
+	switch {
+	case c.closing.Load():
+		return since
+	case first:
+		return since.Add(readHeaderTimeout)
+	default:
+		return since.Add(c.idleTimeout())
 	}
 }
 
-// idleTimeout returns how long a connection may be idle at present. The caller
-// holds c.mu.
+// idleTimeout returns how long a connection may be idle at present.
 func (c *connections) idleTimeout() time.Duration {
-	if len(c.open) > c.softLimit {
+	if c.overSoftLimit() {
 		return overLimitIdleTimeout
 	}
 	if idle := c.configuredIdleTimeout(); idle > 0 {
