Write answers that are ready after their deadline

What callers saw, in a test: a complete answer that the daemon came to write later than 0.5 s after the deadline was not written, and the connection ended without an answer. The write deadline had passed before the write was tried. It is now at least 0.5 s from then. TestReadyAnswerIsWrittenLate failed before.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -110,11 +110,20 @@
 	}
 }
 
+// extendWriteDeadline leaves time to write an answer, also one that is ready late.
+func (a *answer) extendWriteDeadline(now time.Time) {
+	deadline := now.Add(writeSlack)
+	if deadline.Before(a.deadline) {
+		deadline = a.deadline
+	}
+	_ = a.control.SetWriteDeadline(deadline) // Connections without deadlines end with the request's context.
+}
+
 // flush sends the buffered bytes.
 func (a *answer) flush() error {
 	if !a.sent {
 		a.sent = true
-		_ = a.control.SetWriteDeadline(a.deadline) // Connections without deadlines end with the request's context.
+		a.extendWriteDeadline(time.Now())
 		a.w.WriteHeader(a.status)
 	}
 	_, err := a.buffered.WriteTo(a.w)
@@ -130,7 +139,7 @@
 		return nil
 	}
 	a.sent = true
-	_ = a.control.SetWriteDeadline(a.deadline) // As in flush.
+	a.extendWriteDeadline(time.Now())
 	a.w.Header().Set("Content-Length", strconv.Itoa(a.buffered.Len()))
 	a.w.WriteHeader(a.status)
 	_, err := a.buffered.WriteTo(a.w)
