Close connections unread as soon as all requests are refused

Cause: from 50 ms of lag on a router refuses all requests, but only from 100 ms on it closed new connections unread. Between the two it read every request in order to refuse it.

Connections are now closed unread from the lag on at which no request would be admitted, so there is one limit for both. TestNothingIsReadToBeRefused failed before, at 50 to 90 ms.

--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -13,12 +13,10 @@
 	// down or overloaded. It is short because another daemon takes the request.
 	drainingRetryAfter = 50 * time.Millisecond
 	// shedStartLag is the lag above which requests are shed, and shedAllLag the
-	// lag at which all are.
+	// lag at which all are: new connections are then closed unread, as to read requests
+	// only to refuse them takes processor time from those in progress.
 	shedStartLag = 10 * time.Millisecond
 	shedAllLag   = 50 * time.Millisecond
-	// closeUnreadLag is the lag from which on new connections are closed unread, as
-	// refusing their requests would take more processor time than there is.
-	closeUnreadLag = 100 * time.Millisecond
 	// starvedLag and starvedUnsynced are the thresholds of Lag and UnsyncedFor at
 	// which, when both are reached, a daemon counts as too overloaded to
 	// communicate with its control hosts. It refuses all requests then.
@@ -102,8 +100,8 @@
 }
 
 // Overwhelmed reports whether this daemon refuses all requests because it is
-// overloaded, and has not even the processor time to read them.
-func (f *Forwarder) Overwhelmed() bool { return f.lag() >= closeUnreadLag || f.starved() }
+// overloaded.
+func (f *Forwarder) Overwhelmed() bool { return f.lag() >= shedAllLag || f.starved() }
 
 // Overloaded reports whether this daemon is refusing most of its requests.
 func (f *Forwarder) Overloaded() bool { return f.lag() >= (shedStartLag+shedAllLag)/2 }
--- a/internal/edge/shed_test.go
+++ b/internal/edge/shed_test.go
@@ -99,9 +99,20 @@
 	})
 	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadLag)
 	c.Check(f.Overloaded(), qt.IsTrue)
-	standing = closeUnreadLag
 	c.Check(f.Overwhelmed(), qt.IsTrue)
 	standing = 0
 	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadReason(""))
 	c.Check(f.Overwhelmed(), qt.IsFalse)
 }
+
+// TestNothingIsReadToBeRefused guards against a router that spends its processor time on
+// reading requests all of which it refuses, so that it serves few of an account whose
+// callers all reach it.
+func TestNothingIsReadToBeRefused(t *testing.T) {
+	c := qt.New(t)
+	for lag := time.Duration(0); lag <= 4*shedAllLag; lag += shedStartLag {
+		f := New(Config{Lag: func() time.Duration { return lag }, UnsyncedFor: func() time.Duration { return 0 }})
+		const highest = 1 - 1e-9 // random is below 1.
+		c.Check(f.Overwhelmed(), qt.Equals, shed(lag, false, highest), qt.Commentf("%v", lag))
+	}
+}
