Suspend a replica whose disk is full instead of ending the daemon

Cause: the store refused all writes after the first failed one, and the replica stopped with that error, which ends the daemon.

Change: a write that fails with ENOSPC or EDQUOT is undone (the end of the segment is truncated and synced, a new file is removed) and reported as retryable. The driver then repeats just this write every 100 ms. Until it succeeds the replica sends no message, drops those that it gets and refuses requests as a follower that knows no leader; it reports that it doesn't lead. For the other replicas it has stopped, so no vote, entry or read is acknowledged that was not synced. After that it gives up the leadership, as its requests have failed and another replica may lead. Entries committed before are still applied. A failed sync, or a write that can't be undone, still ends the daemon, since what the disk holds then is unknown. Events 526 and 527 say so.

Tests: TestStoreFailsAfterDiskFull asserted the refusal. TestSaveIsRetryableAfterDiskFull replaces it (three failures in a row, then the write, then the reopened log), and TestStoreFailsAfterFailedSync keeps the refusal for what can't be repeated. TestCrashesAndDiskFull repeats retryable writes, with more failures and crashes among them; without the truncation it fails. TestFullDiskStopsReplica is TestFailedWriteStopsReplica, with EIO. The histories checked for linearizability have full disks too. With the retry disabled, as before, the four new tests of internal/replica fail.

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -66,8 +66,8 @@
 	// snapshotIndex is the index of the last entry in the stored snapshot; 0 if
 	// there is none.
 	snapshotIndex uint64
-	// failed is the error of the first failed write; every later write returns
-	// it.
+	// failed is the error of the first failed write that can't be repeated;
+	// every later write returns it.
 	failed error
 }
 
@@ -106,8 +106,8 @@
 
 // Save stores and syncs the state, entries and snapshot of one raft Ready. A
 // snapshot that is not nil replaces the whole log; the entries then replace the
-// stored log from the index of the first one on. After an error all later
-// writes fail with ErrFailed.
+// stored log from the index of the first one on. After an error that is not
+// retryable, all later writes fail with ErrFailed.
 func (s *Store) Save(state raft.HardState, entries []raft.Entry, snapshot *raft.Snapshot) error {
 	if s.failed != nil {
 		return s.failed
@@ -148,8 +148,11 @@
 }
 
 func (s *Store) fail(operation string, err error) error {
-	failure := &WriteError{operation: operation, err: err}
-	s.failed = fmt.Errorf("%w: %w", ErrFailed, failure)
+	var full *fullError
+	failure := &WriteError{operation: operation, err: err, retryable: errors.As(err, &full)}
+	if !failure.retryable {
+		s.failed = fmt.Errorf("%w: %w", ErrFailed, failure)
+	}
 	return failure
 }
 
@@ -184,18 +187,41 @@
 // and renames it.
 func (s *Store) replaceFile(name string, content []byte) error {
 	temporary := name + temporarySuffix
-	file, err := s.fs.Create(temporary)
-	if err != nil {
+	if err := s.createFile(temporary, content); err != nil {
 		return err
 	}
-	_, err = file.Write(content)
-	if err == nil {
-		err = s.syncFile(file)
+	if err := s.fs.Rename(temporary, name); err != nil {
+		return err
 	}
-	if err := errors.Join(err, file.Close()); err != nil {
+	return s.syncFolder()
+}
+
+// createFile writes and syncs a new file.
+func (s *Store) createFile(name string, content []byte) error {
+	file, err := s.openNewFile(name, content)
+	if err != nil {
 		return err
 	}
-	if err := s.fs.Rename(temporary, name); err != nil {
+	return file.Close()
+}
+
+// openNewFile writes and syncs a new file, and returns it open for writing.
+func (s *Store) openNewFile(name string, content []byte) (File, error) {
+	file, err := s.fs.Create(name)
+	if err != nil {
+		return nil, undoFullWrite(err, func() error { return nil })
+	}
+	if _, err := file.Write(content); err != nil {
+		return nil, undoFullWrite(errors.Join(err, file.Close()), func() error { return s.removeFile(name) })
+	}
+	if err := s.syncFile(file); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	return file, nil
+}
+
+func (s *Store) removeFile(name string) error {
+	if err := s.fs.Remove(name); err != nil {
 		return err
 	}
 	return s.syncFolder()
--- a/internal/disk/errors.go
+++ b/internal/disk/errors.go
@@ -52,8 +52,13 @@
 type WriteError struct {
 	operation string
 	err       error
+	retryable bool
 }
 
+// Retryable reports whether the disk was full and the files are as before the
+// write, so that the same write may be repeated.
+func (e *WriteError) Retryable() bool { return e.retryable }
+
 func (e *WriteError) Error() string { return e.operation + ": " + e.err.Error() }
 
 // Unwrap returns the error of the file system.
--- a/internal/disk/segment.go
+++ b/internal/disk/segment.go
@@ -48,29 +48,32 @@
 
 func (s *Store) appendToSegment(record []byte) error {
 	if _, err := s.file.Write(record); err != nil {
-		return err
+		return undoFullWrite(err, s.truncateSegment)
 	}
 	s.currentSegment().size += int64(len(record))
 	return s.syncFile(s.file)
 }
 
+// truncateSegment removes what a failed write left at the end of the current
+// segment. The sync keeps a crash from mixing it with the next record.
+func (s *Store) truncateSegment() error {
+	current := s.currentSegment()
+	if err := s.fs.Truncate(current.name, current.size); err != nil {
+		return err
+	}
+	return s.syncFile(s.file)
+}
+
 // startSegment creates a segment that holds the record. A segment always holds
 // at least one record, so that the last segment always holds the hard state.
 func (s *Store) startSegment(record []byte) error {
 	name := segmentName(s.sequence)
-	file, err := s.fs.Create(name)
+	content := append(appendFileHeader(nil, segmentMagic, s.sequence), record...)
+	file, err := s.openNewFile(name, content)
 	if err != nil {
 		return err
 	}
-	content := append(appendFileHeader(nil, segmentMagic, s.sequence), record...)
-	_, err = file.Write(content)
-	if err == nil {
-		err = s.syncFile(file)
-	}
-	if err == nil {
-		err = s.syncFolder()
-	}
-	if err != nil {
+	if err := s.syncFolder(); err != nil {
 		file.Close()
 		return err
 	}
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -88,6 +88,8 @@
 	RoutingUnreadable    = define(522, log.ErrorLevel, "routing table unreadable")
 	LoadUnreadable       = define(525, log.ErrorLevel, "load of other routers unreadable")
 	DamagedFilesSetAside = define(523, log.ErrorLevel, "damaged files set aside")
+	ReplicaSuspended     = define(526, log.ErrorLevel, "replica suspended, disk full")
+	ReplicaResumed       = define(527, log.InfoLevel, "replica resumed")
 )
 
 // Membership.
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -23,6 +23,13 @@
 	n.resetElectionDeadline(now)
 }
 
+// Resign makes a leader a follower that knows no leader.
+func (n *Node) Resign(now time.Time) {
+	if n.role == RoleLeader {
+		n.becomeFollower(now, n.term, Member{})
+	}
+}
+
 // startPreVote asks the voters whether they would grant their vote, without
 // starting a new term.
 func (n *Node) startPreVote(now time.Time) {
--- a/internal/replica/apply.go
+++ b/internal/replica/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"oleanderramp/internal/raft"
 )
@@ -69,8 +70,9 @@
 		// A newer snapshot was installed from the leader in the meantime.
 		return nil
 	}
-	if err := d.storage.Compact(snapshot); err != nil {
+	if err := d.store(func() error { return d.storage.Compact(snapshot) }); err != nil {
 		return fmt.Errorf("save snapshot: %w", err)
 	}
+	d.resignAfterSuspension(time.Now())
 	return nil
 }
--- a/internal/replica/driver.go
+++ b/internal/replica/driver.go
@@ -41,6 +41,9 @@
 	term          uint64
 	leader        raft.Member
 	closeDeadline time.Time
+	// suspended is set from a failed write to a full disk until the write has
+	// succeeded and the node has resigned.
+	suspended bool
 }
 
 func newDriver(
@@ -202,6 +205,9 @@
 }
 
 func (d *driver) notLeader() error {
+	if d.suspended {
+		return &NotLeaderError{}
+	}
 	return &NotLeaderError{leader: d.node.Leader().Host}
 }
 
@@ -216,6 +222,7 @@
 			return err
 		}
 		d.node.Advance(time.Now(), ready)
+		d.resignAfterSuspension(time.Now())
 	}
 	d.reportLeadershipChange()
 	d.publishStatus()
@@ -225,7 +232,10 @@
 func (d *driver) handleReady(ready raft.Ready) error {
 	d.send(ready.Messages)
 	if ready.MustSync {
-		if err := d.storage.Save(ready.HardState, ready.Entries, ready.Snapshot); err != nil {
+		err := d.store(func() error {
+			return d.storage.Save(ready.HardState, ready.Entries, ready.Snapshot)
+		})
+		if err != nil {
 			return fmt.Errorf("save log: %w", err)
 		}
 	}
@@ -250,43 +260,3 @@
 		d.sender.Send(m.To.Host, m.Wire())
 	}
 }
-
-// reportLeadershipChange reports a change of role, term or leader. When this
-// replica lost the leadership, it fails the requests that wait for it.
-func (d *driver) reportLeadershipChange() {
-	role, term, leader := d.node.Role(), d.node.Term(), d.node.Leader()
-	if role == d.role && term == d.term && leader == d.leader {
-		return
-	}
-	lost := d.role == raft.RoleLeader && (role != raft.RoleLeader || term != d.term)
-	d.role, d.term, d.leader = role, term, leader
-	d.publishStatus()
-	if d.cfg.OnChange != nil {
-		d.cfg.OnChange(d.replica.Status())
-	}
-	if !lost {
-		return
-	}
-	for _, q := range d.waiting {
-		q.finish(nil, ErrOutcomeUnknown)
-	}
-	clear(d.waiting)
-	for _, q := range d.reads {
-		q.finish(nil, d.notLeader())
-	}
-	clear(d.reads)
-}
-
-// failWaiting fails all waiting requests when the replica stops.
-func (d *driver) failWaiting() {
-	for _, q := range d.waiting {
-		q.finish(nil, ErrOutcomeUnknown)
-	}
-	for _, q := range d.reads {
-		q.finish(nil, ErrStopped)
-	}
-	for _, q := range d.confirmed {
-		q.finish(nil, ErrStopped)
-	}
-	failBatch(d.pending)
-}
--- a/internal/replica/ports.go
+++ b/internal/replica/ports.go
@@ -5,7 +5,8 @@
 	"oleanderramp/internal/wire"
 )
 
-// Storage keeps the log on disk. disk.Store implements it.
+// Storage keeps the log on disk. disk.Store implements it. After an error that
+// implements retryableError, the stored log is as before the call.
 type Storage interface {
 	Identity() raft.Member
 	// Load returns the state that was stored when the storage was opened.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -139,6 +139,9 @@
 		defer r.group.Done()
 		defer close(batches)
 		err := d.run()
+		if errors.Is(err, errClosed) {
+			err = nil
+		}
 		r.failure = errors.Join(err, storage.Close())
 		close(r.done)
 		d.failWaiting()
--- a/internal/replica/status.go
+++ b/internal/replica/status.go
@@ -11,6 +11,8 @@
 	raft raft.Status
 	// applied is the index of the last applied entry.
 	applied uint64
+	// suspension is the error for which the replica is suspended, or nil.
+	suspension error
 }
 
 // Self returns the replica's identity.
@@ -28,6 +30,10 @@
 // Leader returns the leader; zero when unknown.
 func (s Status) Leader() raft.Member { return s.raft.Leader }
 
+// Suspension returns the error of the full disk for which the replica takes no
+// part in the quorum, or nil.
+func (s Status) Suspension() error { return s.suspension }
+
 // Commit returns the index of the last entry known to be committed.
 func (s Status) Commit() uint64 { return s.raft.Commit }
 
--- a/internal/stateserver/quorumlogger.go
+++ b/internal/stateserver/quorumlogger.go
@@ -15,6 +15,8 @@
 type QuorumLogger struct {
 	log    log.Interface
 	leader raft.Member
+	// suspended reports whether the replica was suspended at the last call.
+	suspended bool
 	// isVoter holds for each member whether it is a voter.
 	isVoter map[raft.Member]bool
 }
@@ -24,7 +26,8 @@
 
 // LogChanges logs the changes since the last call.
 func (q *QuorumLogger) LogChanges(status replica.Status) {
-	if leader := status.Leader(); leader != q.leader {
+	q.logSuspension(status)
+	if leader := status.Leader(); leader != q.leader && !q.suspended {
 		q.leader = leader
 		if leader.IsZero() {
 			event.QuorumLost.Log(q.log, event.Fields{"term": status.Term()})
@@ -47,6 +50,21 @@
 	q.isVoter = voters
 }
 
+// logSuspension logs that the replica was suspended by a full disk, or takes
+// part in the quorum again.
+func (q *QuorumLogger) logSuspension(status replica.Status) {
+	reason := status.Suspension()
+	if suspended := reason != nil; suspended == q.suspended {
+		return
+	}
+	q.suspended = reason != nil
+	if q.suspended {
+		event.ReplicaSuspended.Log(q.log, event.Fields{"error": reason.Error()})
+		return
+	}
+	event.ReplicaResumed.Log(q.log, event.Fields{"term": status.Term()})
+}
+
 // FormatReplicaID returns the number of a replica in the form of logs and
 // commands.
 func FormatReplicaID(replica uint64) string { return fmt.Sprintf("%016x", replica) }
