Don't count a voter that doesn't respond when a silent one is removed

A replica whose disk is full neither votes nor acknowledges, while its host is alive. The repair counted it among the voters that are left, and could so shrink the quorum to fewer working voters than the minimum. Now a voter counts only if it also responded to the leader within the last election timeout.

The new row of TestNext failed before: the silent voter was removed.

--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -106,13 +106,14 @@
 	return v.liveVoters() >= v.MinVoters
 }
 
-// liveVoters counts the voters that are alive and still have their data folder.
-// The leader always counts as alive.
+// liveVoters counts the voters that are alive, respond to the leader and still
+// have their data folder. The host of a replica that can't write is alive, but
+// the replica doesn't respond. The leader always counts as alive.
 func (v View) liveVoters() int {
 	count := 0
 	for _, m := range v.Members {
 		h := v.Hosts[m.Member.Host]
-		if m.Voter && (m.Member == v.Self || h.Alive && h.Replica == m.Member.Replica) {
+		if m.Voter && (m.Member == v.Self || m.Active && h.Alive && h.Replica == m.Member.Replica) {
 			count++
 		}
 	}
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -11,7 +11,15 @@
 )
 
 func voter(host string, replica uint64) raft.MemberStatus {
-	return raft.MemberStatus{Member: raft.Member{Host: host, Replica: replica}, Voter: true}
+	return raft.MemberStatus{Member: raft.Member{Host: host, Replica: replica}, Voter: true, Active: true}
+}
+
+// suspended returns a voter that doesn't respond to the leader, though its host
+// is alive.
+func suspended(host string, replica uint64) raft.MemberStatus {
+	m := voter(host, replica)
+	m.Active = false
+	return m
 }
 
 func learner(host string, replica uint64) raft.MemberStatus {
@@ -55,6 +63,12 @@
 			hosts["f"] = alive(6)
 			return hosts
 		}(), raft.Change{Kind: raft.Remove, Member: raft.Member{Host: "b", Replica: 2}}},
+		// Guards against a quorum that shrinks to a voter whose disk is full.
+		{"silent voter stays if another one is suspended", append(five[:4:4], suspended("e", 5), voter("f", 6)), func() map[string]repair.Host {
+			hosts := withHost("b", silent(2, 11*time.Second))
+			hosts["f"] = alive(6)
+			return hosts
+		}(), raft.Change{}},
 		{"silent voter stays until the timeout", append(five[:5:5], voter("f", 6)), func() map[string]repair.Host {
 			hosts := withHost("b", silent(2, 9*time.Second))
 			hosts["f"] = alive(6)
