Lend an empty endpoint to a region that has none for a suspect

Now a region tells how many of its waiting requests must run alone and have no endpoint there; the lender lets an endpoint empty, marks it exclusive as for its own suspects, and lends it whole. A region gets one at a time, in the order of the accounts within the slack of loans, and after the lender's own suspects; the borrower uses it for one such request and returns it. Older peers ignore the new fields: they lend plain slots, which a suspect does not use.

--- a/internal/scheduler/decide.go
+++ b/internal/scheduler/decide.go
@@ -17,6 +17,7 @@
 	s.resendGrants(&d)
 	s.refuseUnservable(now, &d)
 	s.grantAlone(now, &d)
+	s.lendAlone(now)
 	for s.grantNext(now, &d) {
 		continue
 	}
@@ -223,110 +224,3 @@
 	s.charge(a, run.charged)
 	return run
 }
-
-// deferAlone moves a request that is next in order to those that wait for an
-// empty endpoint.
-func (s *Scheduler) deferAlone(now time.Time, r *request, d *Decisions) {
-	r.dequeued = true
-	r.queue.remove(s, r)
-	r.dequeued = false
-	s.waitingAlone = append(s.waitingAlone, r)
-	s.grantAlone(now, d)
-}
-
-// grantAlone grants empty endpoints to requests that must run alone. If the
-// first of them finds none, it reserves an endpoint and lets it empty.
-func (s *Scheduler) grantAlone(now time.Time, d *Decisions) {
-	for i := 0; i < len(s.waitingAlone); {
-		r := s.waitingAlone[i]
-		e := s.emptyFor(r)
-		if e == nil && s.refuseAlone(now, r, d) {
-			continue
-		}
-		if e == nil {
-			if i == 0 {
-				s.reserve(now, r)
-			}
-			i++
-			continue
-		}
-		if e == s.reserved {
-			s.reserved = nil
-		}
-		e.exclusive = true
-		s.grant(now, r, e, ReasonAlone, d)
-		s.running[r.ID].alone = true
-	}
-	s.unreserve()
-}
-
-// refuseAlone refuses a request that no live endpoint can serve and that has
-// waited for Config.UnservableGrace. It reports whether it did.
-func (s *Scheduler) refuseAlone(now time.Time, r *request, d *Decisions) bool {
-	c := r.requirements()
-	if now.Sub(r.since) < s.cfg.UnservableGrace || s.anyLive(now, c) {
-		return false
-	}
-	d.Refusals = append(d.Refusals, Refusal{ID: r.ID, Reason: s.refusalReason(now, c), RetryAfter: s.cfg.UnservableGrace})
-	s.dequeue(r)
-	return true
-}
-
-// requirements returns a class with the requirements of the request.
-func (r *request) requirements() *class {
-	return &class{classKey: classKey{model: r.Model, adapter: r.Adapter}, excludedList: r.Excluded}
-}
-
-// emptyFor returns an endpoint on which nothing runs and that accepts the
-// request, or nil.
-func (s *Scheduler) emptyFor(r *request) *endpoint {
-	c := r.requirements()
-	if e := s.reserved; e != nil && e.inUse == 0 && e.foreign == 0 && c.accepts(e) {
-		return e
-	}
-	for _, e := range s.free.levels[0] {
-		if e.inUse == 0 && e.foreign == 0 && c.accepts(e) {
-			return e
-		}
-	}
-	return nil
-}
-
-// reserve chooses the endpoint with the fewest slots in use and excludes it from
-// other grants, so that it becomes empty.
-func (s *Scheduler) reserve(now time.Time, r *request) {
-	c := r.requirements()
-	if s.reserved != nil && c.accepts(s.reserved) {
-		return
-	}
-	if old := s.reserved; old != nil {
-		s.reserved = nil
-		s.refresh(now, old)
-	}
-	for _, name := range sortedKeys(s.endpoints) {
-		e := s.endpoints[name]
-		if !e.live(now) || e.exclusive || !c.accepts(e) {
-			continue
-		}
-		if s.reserved == nil || e.inUse < s.reserved.inUse {
-			s.reserved = e
-		}
-	}
-	if s.reserved != nil {
-		s.free.remove(s.reserved)
-	}
-}
-
-// unreserve makes the reserved endpoint available again when no request waits
-// for it.
-func (s *Scheduler) unreserve() {
-	if s.reserved == nil || len(s.waitingAlone) > 0 {
-		return
-	}
-	e := s.reserved
-	s.reserved = nil
-	if e.inUse < e.Slots-e.foreign {
-		s.free.add(e)
-		s.capacity++
-	}
-}
--- a/internal/scheduler/endpoint.go
+++ b/internal/scheduler/endpoint.go
@@ -194,7 +194,7 @@
 				return false
 			}
 			unreported--
-			s.freeSlot(now, e)
+			s.freeLent(now, l)
 			return true
 		})
 	}
--- a/internal/scheduler/exchange.go
+++ b/internal/scheduler/exchange.go
@@ -40,8 +40,11 @@
 
 // AccountBacklog is an account with waiting requests at the sender.
 type AccountBacklog struct {
-	Account        string
-	Waiting        int
+	Account string
+	Waiting int
+	// WaitingAlone counts those of the waiting requests that must run alone and
+	// that no endpoint of the sender can serve.
+	WaitingAlone   int
 	VirtualService float64
 	// Seen is the receiver's total that is included in VirtualService.
 	Seen       float64
@@ -56,6 +59,9 @@
 	EndpointIncarnation uint64
 	Address             string
 	Models, Adapters    []string
+	// Alone reports whether the loan is for a request that must run alone:
+	// nothing else runs on the endpoint until the loan ends.
+	Alone bool
 	// ExpiresIn is how long the receiver may wait before it grants the loan.
 	ExpiresIn time.Duration
 }
@@ -266,7 +272,9 @@
 			continue
 		}
 		if o := r.byAccount[s.account(l.account)]; o != nil {
-			o.pendingLoans++
+			if !l.alone {
+				o.pendingLoans++
+			}
 			o.pendingCost += l.cost
 		}
 	}
--- a/internal/scheduler/loan.go
+++ b/internal/scheduler/loan.go
@@ -35,100 +35,14 @@
 	// cost is the expected cost of the request that will run.
 	cost    float64
 	expires time.Time
+	// alone reports whether the whole endpoint is lent for one request.
+	alone bool
 	// inUse reports whether the borrower has granted the slot; renewed is when
 	// it last reported so.
 	inUse   bool
 	renewed time.Time
 }
 
-// nextRemote returns the account of another region that should get a loan
-// before the first request of local is granted, or nil. local is nil when no
-// local request can use a free slot.
-func (s *Scheduler) nextRemote(now time.Time, local *class) *remoteAccount {
-	var best *remoteAccount
-	for _, r := range s.regions.list {
-		if !r.reachable || !r.heardWithin(now, s.cfg.RegionTimeout) {
-			continue
-		}
-		o := s.loanCandidate(now, r)
-		if o == nil || !s.qualifiesForLoan(o, local) {
-			continue
-		}
-		if best == nil || o.projectedVirtual() < best.projectedVirtual() {
-			best = o
-		}
-	}
-	return best
-}
-
-// olderRemote returns the remote account of a region in which a request of the
-// same account has waited at least Config.LoanAge longer than the local
-// request, or nil.
-func (s *Scheduler) olderRemote(now time.Time, local *request) *remoteAccount {
-	for _, r := range s.regions.list {
-		if !r.reachable || !r.heardWithin(now, s.cfg.RegionTimeout) {
-			continue
-		}
-		o := r.byAccount[local.account]
-		if o == nil || o.pendingLoans > 0 || now.Before(r.backoff[o.Account]) {
-			continue
-		}
-		if o.OldestWait-now.Sub(local.since) >= s.cfg.LoanAge {
-			return o
-		}
-	}
-	return nil
-}
-
-// loanCandidate returns the first account of the region that may get a loan.
-// An account may have one pending loan more than it reported waiting requests,
-// to allow for requests that have arrived since.
-func (s *Scheduler) loanCandidate(now time.Time, r *region) *remoteAccount {
-	for r.next < len(r.accounts) && r.accounts[r.next].pendingLoans > r.accounts[r.next].Waiting {
-		r.next++
-	}
-	for _, o := range r.accounts[r.next:] {
-		if o.blockedAt == s.capacity+1 {
-			return nil
-		}
-		if o.pendingLoans <= o.Waiting && !now.Before(r.backoff[o.Account]) {
-			return o
-		}
-	}
-	return nil
-}
-
-// qualifiesForLoan reports whether the account is far enough behind the first
-// local one or, when local is nil, has waited at least Config.LoanMinWait.
-func (s *Scheduler) qualifiesForLoan(o *remoteAccount, local *class) bool {
-	if local == nil {
-		return o.OldestWait >= s.cfg.LoanMinWait
-	}
-	return o.projectedVirtual()+s.loanSlack(o.account) < local.queues[0].account.virtual
-}
-
-// lend lends a slot of the least loaded endpoint to the account. It returns
-// false when no endpoint is free.
-func (s *Scheduler) lend(now time.Time, o *remoteAccount) bool {
-	e := s.free.leastLoaded(func(*endpoint) bool { return true })
-	if e == nil {
-		return false
-	}
-	s.regions.nextLoan++
-	cost := s.regions.averageCost
-	l := &lentSlot{number: s.regions.nextLoan, account: o.Account, endpoint: e, cost: cost, expires: now.Add(2 * s.cfg.LoanExpiry)}
-	o.pendingLoans++
-	o.pendingCost += cost
-	o.region.lent = append(o.region.lent, l)
-	o.region.newLoans = append(o.region.newLoans, Loan{
-		Loan: l.number, Account: o.Account, Endpoint: e.Endpoint, EndpointIncarnation: e.Incarnation, Address: e.Address,
-		Models: e.Models, Adapters: e.Adapters, ExpiresIn: s.cfg.LoanExpiry,
-	})
-	s.regions.urgent = true
-	s.occupy(now, e)
-	return true
-}
-
 // applyReturns frees the slots of loans that have ended.
 func (s *Scheduler) applyReturns(now time.Time, r *region, returned []LoanReturn) {
 	for _, ret := range returned {
@@ -139,7 +53,7 @@
 		l := r.lent[at]
 		r.lent = slices.Delete(r.lent, at, at+1)
 		r.recordReturn(now, l.account, ret.Used)
-		s.freeSlot(now, l.endpoint)
+		s.freeLent(now, l)
 	}
 }
 
@@ -174,7 +88,7 @@
 			if now.Before(l.expires) {
 				return false
 			}
-			s.freeSlot(now, l.endpoint)
+			s.freeLent(now, l)
 			return true
 		})
 	}
@@ -242,17 +156,18 @@
 
 // mayBorrow reports whether requests of the class can run on the borrowed slot.
 func (c *class) mayBorrow(l *borrowedSlot) bool {
-	return !c.alone && c.acceptsNamed(l.Endpoint, l.Models, l.Adapters)
+	return c.alone == l.Alone && c.acceptsNamed(l.Endpoint, l.Models, l.Adapters)
 }
 
 // endLoanUse returns a borrowed slot whose request has ended, or makes it
-// available to the next request. A slot is kept only until reuseUntil, and only
+// available to the next request. A whole endpoint is returned, because the
+// request may have crashed it. A slot is kept only until reuseUntil, and only
 // if its region is reachable and the next local account is behind all accounts
 // with requests waiting there.
 func (s *Scheduler) endLoanUse(now time.Time, l *borrowedSlot) {
 	s.stopRenewal(l)
 	q := s.nextForLoan(l)
-	keep := q != nil && now.Before(l.reuseUntil) && l.region.reachable && l.region.heardWithin(now, s.cfg.RegionTimeout)
+	keep := q != nil && !l.Alone && now.Before(l.reuseUntil) && l.region.reachable && l.region.heardWithin(now, s.cfg.RegionTimeout)
 	if keep && l.region.behind(q.account, s.loanSlack(q.account)) {
 		s.regions.borrowed = append(s.regions.borrowed, l)
 		return
--- a/internal/scheduler/loan_property_test.go
+++ b/internal/scheduler/loan_property_test.go
@@ -9,7 +9,8 @@
 	"oleanderramp/internal/scheduler"
 )
 
-// regionPair is two regions with one endpoint each, whose exchanges may be lost.
+// regionPair is two regions, whose exchanges may be lost. The first has one
+// endpoint, the second one or none.
 type regionPair struct {
 	now     time.Time
 	slots   int
@@ -20,18 +21,24 @@
 	running  map[uint64]scheduler.Grant
 	owner    map[uint64]int
 	granted  map[uint64]bool
-	next     uint64
+	// alone holds the requests that must run alone.
+	alone map[uint64]bool
+	next  uint64
 }
 
 func newRegionPair(t *rapid.T) *regionPair {
 	p := &regionPair{
 		now: start, slots: rapid.IntRange(1, 3).Draw(t, "slots"), names: [2]string{"maz", "mlp"},
 		running: map[uint64]scheduler.Grant{}, owner: map[uint64]int{}, granted: map[uint64]bool{},
+		alone: map[uint64]bool{},
 	}
+	endpoints := rapid.IntRange(1, 2).Draw(t, "endpoints")
 	for i, region := range p.names {
 		p.regions[i] = scheduler.New(scheduler.Config{Service: "manuals", Region: region, Incarnation: uint64(i + 1)})
 		p.regions[i].SetRegions(p.now, []string{p.names[1-i]})
-		p.regions[i].Announce(p.now, endpoint("of-"+region, p.slots))
+		if i < endpoints {
+			p.regions[i].Announce(p.now, endpoint("of-"+region, p.slots))
+		}
 	}
 	return p
 }
@@ -41,7 +48,10 @@
 	i := rapid.IntRange(0, 1).Draw(t, "region")
 	account := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account")
 	p.owner[p.next] = i
-	p.regions[i].Enqueue(p.now, scheduler.Request{ID: id(p.next), Account: account, Estimate: 1, Waited: time.Second})
+	p.alone[p.next] = rapid.IntRange(0, 3).Draw(t, "alone") == 0
+	p.regions[i].Enqueue(p.now, scheduler.Request{
+		ID: id(p.next), Account: account, Estimate: 1, Waited: time.Second, Alone: p.alone[p.next],
+	})
 }
 
 func (p *regionPair) complete(t *rapid.T) {
@@ -75,7 +85,8 @@
 }
 
 // decide checks that both schedulers together never exceed the slots of an
-// endpoint, and that each request is granted once and in its own region. The
+// endpoint, that nothing else runs beside a request that must run alone, and that
+// each request is granted once and in its own region. The
 // time stays below the expiry of loans, because afterwards a lender can only
 // rely on the endpoint's reports.
 func (p *regionPair) decide(t *rapid.T) {
@@ -97,6 +108,11 @@
 			t.Fatalf("endpoint %s runs more requests than its %d slots", g.Endpoint, p.slots)
 		}
 	}
+	for n, g := range p.running {
+		if p.alone[n] && used[g.Endpoint] > 1 {
+			t.Fatalf("request %d does not run alone", n)
+		}
+	}
 }
 
 func TestLoansNeverExceedEndpointSlots(t *testing.T) {
--- a/internal/scheduler/outgoing.go
+++ b/internal/scheduler/outgoing.go
@@ -136,7 +136,7 @@
 	})
 	for _, a := range lowest[:min(len(lowest), s.cfg.ExchangeAccounts)] {
 		list = append(list, AccountBacklog{
-			Account: a.name, Waiting: a.waiting, VirtualService: a.virtual, OldestWait: a.oldestWait(now),
+			Account: a.name, Waiting: a.waiting, WaitingAlone: a.waitingAlone(), VirtualService: a.virtual, OldestWait: a.oldestWait(now),
 		})
 	}
 	slices.SortFunc(list, func(a, b AccountBacklog) int { return cmp.Compare(a.Account, b.Account) })
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -61,9 +61,11 @@
 
 	// waitingAlone holds the requests with Request.Alone that were next in
 	// order but need an empty endpoint, in that order. reserved is the endpoint
-	// being emptied for the first of them.
-	waitingAlone []*request
-	reserved     *endpoint
+	// being emptied for the first of them or, if emptyingForLoan is set, for a
+	// request of another region.
+	waitingAlone    []*request
+	reserved        *endpoint
+	emptyingForLoan bool
 
 	regions regions
 }
--- a/internal/scheduling/exchange.go
+++ b/internal/scheduling/exchange.go
@@ -47,7 +47,8 @@
 	}
 	for _, b := range x.GetBacklogged() {
 		e.Backlogged = append(e.Backlogged, scheduler.AccountBacklog{
-			Account: b.GetAccount(), Waiting: int(b.GetWaiting()), VirtualService: b.GetVirtualService(), Seen: b.GetSeen(),
+			Account: b.GetAccount(), Waiting: int(b.GetWaiting()), WaitingAlone: int(b.GetWaitingAlone()),
+			VirtualService: b.GetVirtualService(), Seen: b.GetSeen(),
 			OldestWait: time.Duration(b.GetOldestWaitMs()) * time.Millisecond,
 		})
 	}
@@ -55,7 +56,7 @@
 		e.Loans = append(e.Loans, scheduler.Loan{
 			Loan: loan.GetLoan(), Account: loan.GetAccount(), Endpoint: loan.GetEndpoint(),
 			EndpointIncarnation: loan.GetEndpointIncarnation(), Address: loan.GetAddress(),
-			Models: loan.GetModels(), Adapters: loan.GetAdapters(),
+			Models: loan.GetModels(), Adapters: loan.GetAdapters(), Alone: loan.GetAlone(),
 			ExpiresIn: time.Duration(loan.GetExpiresMs()) * time.Millisecond,
 		})
 	}
@@ -76,7 +77,8 @@
 	}
 	for _, b := range e.Backlogged {
 		x.Backlogged = append(x.Backlogged, &wire.AccountBacklog{
-			Account: b.Account, Waiting: uint32(b.Waiting), VirtualService: b.VirtualService, Seen: b.Seen,
+			Account: b.Account, Waiting: uint32(b.Waiting), WaitingAlone: uint32(b.WaitingAlone),
+			VirtualService: b.VirtualService, Seen: b.Seen,
 			OldestWaitMs: uint32(b.OldestWait.Milliseconds()),
 		})
 	}
@@ -84,7 +86,7 @@
 		x.Loans = append(x.Loans, &wire.Loan{
 			Loan: loan.Loan, Account: loan.Account, Endpoint: loan.Endpoint,
 			EndpointIncarnation: loan.EndpointIncarnation, Address: loan.Address,
-			Models: loan.Models, Adapters: loan.Adapters, ExpiresMs: uint32(loan.ExpiresIn.Milliseconds()),
+			Models: loan.Models, Adapters: loan.Adapters, Alone: loan.Alone, ExpiresMs: uint32(loan.ExpiresIn.Milliseconds()),
 		})
 	}
 	for _, r := range e.Returned {
--- a/internal/scheduling/exchange_test.go
+++ b/internal/scheduling/exchange_test.go
@@ -20,6 +20,7 @@
 		want.IdleSlots &= 0xffff
 		for i := range want.Backlogged {
 			want.Backlogged[i].Waiting &= 0xffff
+			want.Backlogged[i].WaitingAlone &= 0xffff
 			want.Backlogged[i].OldestWait = wholeMillis(want.Backlogged[i].OldestWait)
 		}
 		for i := range want.Loans {
