Repeat confirmed calls of the site tests that the quorum did not confirm in time

Cause, shown by runs: both make single calls and expect 200, but a control host answers 503 when the quorum has not confirmed a read for 1.5 s or an order for 4 s, as when its process gets no processor time. With the test process alone paused for 1.6 s (SIGSTOP) after every 40 ms, TestReplaceRouting failed in 2 of 2 runs, with orders and a read refused like that; with 1.7 s after every 250 ms, TestDamagedDiskIsReplaced failed at the read after the repair in 1 of 3 runs. That the failures beside load were of this kind is likely: they have the same refusals, but no logs were kept.

The tests now repeat such a call for up to a minute, and fail if the refusal came before the time that the control host has for the confirmation, which was not checked before. All other statuses, and the content of each answer, are compared as before. Reads of TestSiteDiscoveryAndServing and TestLostDisksAreReplaced had the same assumption.

With the same pauses TestReplaceRouting passes in 4 of 4 runs, TestDamagedDiskIsReplaced in 6 of 6.

--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -159,6 +159,37 @@
 	return call("GET", s.address(i, 1), "/Config.Read", "", "", nil)
 }
 
+// Before a control host answers 503, it waits this long for the quorum to
+// confirm a read or an order.
+const (
+	readConfirmTime  = 1500 * time.Millisecond
+	orderConfirmTime = 4 * time.Second
+)
+
+// readConfirmed reads the routing table, again while the quorum does not confirm
+// in time. A refusal must not come before that time.
+func (s *testSite) readConfirmed(i int) (int, string) {
+	s.c.Helper()
+	return s.confirmed(readConfirmTime, func() (int, string) { return s.read(i) })
+}
+
+// confirmed repeats a call for testTimeout while it is refused for want of a
+// confirmation, and returns its last response.
+func (s *testSite) confirmed(confirmTime time.Duration, call func() (int, string)) (int, string) {
+	s.c.Helper()
+	for first := time.Now(); ; {
+		began := time.Now()
+		status, body := call()
+		if status != http.StatusServiceUnavailable {
+			return status, body
+		}
+		s.c.Assert(time.Since(began) >= confirmTime, qt.IsTrue, qt.Commentf("refused after %v: %s", time.Since(began), body))
+		if time.Since(first) >= testTimeout {
+			return status, body
+		}
+	}
+}
+
 // serves reports whether the router answers a request through an endpoint.
 func (s *testSite) serves() bool {
 	status, body := call("GET", s.address(100, 1), "/x/1", "a.example", "", map[string]string{"Oleanderramp-Request-Id": "id"})
@@ -183,7 +214,7 @@
 	document := routingDocument(3, "as  it \t was sent")
 	s.replace(3, document)
 	for i := range s.controls {
-		status, body := s.read(i)
+		status, body := s.readConfirmed(i)
 		c.Check(status, qt.Equals, http.StatusOK)
 		c.Check(body, qt.Equals, document)
 	}
@@ -225,13 +256,15 @@
 		{"unknown service", strings.Replace(routingDocument(6, "x"), `"service":"s"`, `"service":"t"`, 1), 400},
 	}
 	for _, test := range tests {
-		status, body := call("POST", s.address(1, 1), "/Config.Replace", "", test.document, nil)
+		status, body := s.confirmed(orderConfirmTime, func() (int, string) {
+			return call("POST", s.address(1, 1), "/Config.Replace", "", test.document, nil)
+		})
 		c.Check(status, qt.Equals, test.status, qt.Commentf("%s: %s", test.name, body))
-		_, got := s.read(2)
+		_, got := s.readConfirmed(2)
 		c.Check(got, qt.Equals, routingDocument(5, "first"), qt.Commentf(test.name))
 	}
 	s.replace(2, routingDocument(6, "next"))
-	_, got := s.read(0)
+	_, got := s.readConfirmed(0)
 	c.Check(got, qt.Equals, routingDocument(6, "next"))
 }
 
@@ -253,7 +286,7 @@
 			return votes && voters == 3
 		})
 	}
-	status, got := s.read(0)
+	status, got := s.readConfirmed(0)
 	c.Check(status, qt.Equals, http.StatusOK)
 	c.Check(got, qt.Equals, routingDocument(4, "kept"))
 }
@@ -282,7 +315,7 @@
 		voters, votes := s.controls[0].daemon.Voters()
 		return votes && voters == 3
 	})
-	status, got := s.read(0)
+	status, got := s.readConfirmed(0)
 	c.Check(status, qt.Equals, http.StatusOK)
 	c.Check(got, qt.Equals, routingDocument(1, "kept"))
 	aside, err := os.ReadFile(segments[0] + ".damaged")
