Show the end of the log of a process that can't be signalled

TestBookingHistory failed once because its frozen daemon had ended, and nothing was kept that says why. The error of a signal to an ended process now shows the end of its log.

--- a/sessions/fleet_test.go
+++ b/sessions/fleet_test.go
@@ -279,7 +279,10 @@
 	if !ok {
 		return fmt.Errorf("process %s was never started", name)
 	}
-	return p.cmd.Process.Signal(s)
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("signal %v to process %s: %w; its log ends with:\n%s", s, name, err, lastLines(p.stderr.String()))
+	}
+	return nil
 }
 
 // awaitExit waits until a process exits and returns its exit code.
