--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -165,7 +166,7 @@
 		return "may_have_run_once", false
 	case t.answer.partlySent() && !t.answer.resumable():
 		return "answer_partly_passed", false
-	case err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent:
+	case !wasSent(err):
 		return "not_sent", len(t.excluded) <= maxExcluded
 	case t.attemptsUsedUp():
 		return "attempts_used_up", false
@@ -176,6 +177,11 @@
 	}
 }
 
+// wasSent reports whether a part of the request may have reached the endpoint.
+func wasSent(err *endpoint.CallError) bool {
+	return err.Kind != endpoint.DialFailed && err.Kind != endpoint.NotSent
+}
+
 // maxExcluded bounds the number of failed endpoints after which a request that could
 // not be sent is tried at another one.
 const maxExcluded = 4
@@ -199,7 +205,7 @@
 // finalFailure returns the failure of a request after its last attempt.
 func (f *Forwarder) finalFailure(ctx context.Context, t *task, err *endpoint.CallError) *failure {
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, endpoint.ErrCallerDisconnected):
 		return callerGone()
 	case !time.Now().Before(t.deadline) && t.mayHaveRun:
 		return &failure{status: 504, outcome: OutcomeFailed, code: CodeTimeout, message: "no complete answer before the deadline"}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -66,6 +66,8 @@
 	Decode(r *http.Request) *Request
 	// Outgoing returns the header for an endpoint.
 	Outgoing(request *Request, send ForwardInfo) http.Header
+	// SetTimeLeft changes ForwardInfo.TimeLeft in a header for an endpoint.
+	SetTimeLeft(header http.Header, left time.Duration)
 }
 
 // Endpoints calls endpoints.
@@ -126,6 +128,10 @@
 	CodeAnswerBroken  Code = "answer_broken"
 	CodeTimeout       Code = "timeout"
 	CodeCallerGone    Code = "caller_gone"
+	// CodeConnectionClosed and CodeConnectionTimeout requests ended because this
+	// daemon ended the caller's connection.
+	CodeConnectionClosed  Code = "connection_closed"
+	CodeConnectionTimeout Code = "connection_timeout"
 )
 
 // failure describes a request that ended without a complete answer from the
--- a/internal/edge/hedge.go
+++ b/internal/edge/hedge.go
@@ -47,7 +47,7 @@
 	now := time.Now()
 	a.first = a.newCall(now, p)
 	t.answer.startAttempt(p.reservation)
-	call := f.call(now, t, p)
+	call := f.call(caller, now, t, p)
 	if t.route.Idempotent() {
 		call.OnSilence = a.hedge
 	}
@@ -76,7 +76,7 @@
 		return
 	}
 	second := a.newCall(now, p)
-	call := a.forwarder.call(now, a.task, p)
+	call := a.forwarder.call(a.ctx, now, a.task, p)
 	call.OnSilence = func(time.Duration) {} // There is no third endpoint to wait for.
 	a.mu.Lock()
 	a.second = second
@@ -174,11 +174,10 @@
 		return
 	}
 	id := call.placement.choice.Endpoint.ID
-	notSent := err.Kind == endpoint.DialFailed || err.Kind == endpoint.NotSent
-	if notSent && call != a.first {
+	if !wasSent(err) && call != a.first {
 		a.forwarder.refundRetry(t.service)
 	}
-	if !notSent && !slices.Contains(t.reached, id) {
+	if wasSent(err) && !slices.Contains(t.reached, id) {
 		t.reached = append(t.reached, id)
 	}
 	t.mayHaveRun = t.mayHaveRun || err.MayHaveRun()
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -13,12 +13,10 @@
 	// down or overloaded. It is short because another daemon takes the request.
 	drainingRetryAfter = 50 * time.Millisecond
 	// shedStartLag is the lag above which requests are shed, and shedAllLag the
-	// lag at which all are.
+	// lag at which all are: new connections are then closed unread, as to read requests
+	// only to refuse them takes processor time from those in progress.
 	shedStartLag = 10 * time.Millisecond
 	shedAllLag   = 50 * time.Millisecond
-	// closeUnreadLag is the lag from which on new connections are closed unread, as
-	// refusing their requests would take more processor time than there is.
-	closeUnreadLag = 100 * time.Millisecond
 	// starvedLag and starvedUnsynced are the thresholds of Lag and UnsyncedFor at
 	// which, when both are reached, a daemon counts as too overloaded to
 	// communicate with its control hosts. It refuses all requests then.
@@ -68,7 +66,8 @@
 		maps.Copy(line, shareFields(f.cfg.Admission.share(now, t.account)))
 	}
 	line["overload"], line["left_out"] = string(t.overload), leftOut
-	line["lag_ms"], line["unsynced_ms"] = f.cfg.Lag().Milliseconds(), f.cfg.UnsyncedFor().Milliseconds()
+	line["lag_ms"], line["standing_lag_ms"] = f.cfg.Lag().Milliseconds(), f.cfg.StandingLag().Milliseconds()
+	line["unsynced_ms"] = f.cfg.UnsyncedFor().Milliseconds()
 	event.RequestRefused.Log(f.cfg.Log, line)
 }
 
@@ -81,7 +80,7 @@
 	if f.starved() {
 		return overloadUnsynced
 	}
-	lag := f.cfg.Lag()
+	lag := f.lag()
 	if lag <= shedStartLag {
 		return ""
 	}
@@ -91,18 +90,21 @@
 	return ""
 }
 
+// lag returns how long work waits for this daemon, by the measure that shows more.
+func (f *Forwarder) lag() time.Duration { return max(f.cfg.Lag(), f.cfg.StandingLag()) }
+
 // starved reports whether this daemon is too overloaded to communicate with its
 // control hosts.
 func (f *Forwarder) starved() bool {
-	return f.cfg.Lag() >= starvedLag && f.cfg.UnsyncedFor() >= starvedUnsynced
+	return f.lag() >= starvedLag && f.cfg.UnsyncedFor() >= starvedUnsynced
 }
 
 // Overwhelmed reports whether this daemon refuses all requests because it is
-// overloaded, and has not even the processor time to read them.
-func (f *Forwarder) Overwhelmed() bool { return f.cfg.Lag() >= closeUnreadLag || f.starved() }
+// overloaded.
+func (f *Forwarder) Overwhelmed() bool { return f.lag() >= shedAllLag || f.starved() }
 
 // Overloaded reports whether this daemon is refusing most of its requests.
-func (f *Forwarder) Overloaded() bool { return f.cfg.Lag() >= (shedStartLag+shedAllLag)/2 }
+func (f *Forwarder) Overloaded() bool { return f.lag() >= (shedStartLag+shedAllLag)/2 }
 
 // shed reports whether to refuse a request at the given lag. Requests with
 // shedFirst set are all refused before any other is. random is uniform in
--- a/internal/edge/shed_test.go
+++ b/internal/edge/shed_test.go
@@ -87,3 +87,32 @@
 	_, logged = shareFields(admission.share(now.Add(time.Second/10), "alone"))["spare_tokens"]
 	c.Check(logged, qt.IsTrue)
 }
+
+// TestStandingLagShedsRequests guards against a router that admits requests although its
+// work waits for long, as the scheduling latency does not show it.
+func TestStandingLagShedsRequests(t *testing.T) {
+	c := qt.New(t)
+	standing := 2 * shedAllLag
+	f := New(Config{
+		Admission: newTestAdmission(c, 4, 1000), Lag: func() time.Duration { return 0 }, UnsyncedFor: func() time.Duration { return 0 },
+		StandingLag: func() time.Duration { return standing },
+	})
+	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadLag)
+	c.Check(f.Overloaded(), qt.IsTrue)
+	c.Check(f.Overwhelmed(), qt.IsTrue)
+	standing = 0
+	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadReason(""))
+	c.Check(f.Overwhelmed(), qt.IsFalse)
+}
+
+// TestNothingIsReadToBeRefused guards against a router that spends its processor time on
+// reading requests all of which it refuses, so that it serves few of an account whose
+// callers all reach it.
+func TestNothingIsReadToBeRefused(t *testing.T) {
+	c := qt.New(t)
+	for lag := time.Duration(0); lag <= 4*shedAllLag; lag += shedStartLag {
+		f := New(Config{Lag: func() time.Duration { return lag }, UnsyncedFor: func() time.Duration { return 0 }})
+		const highest = 1 - 1e-9 // random is below 1.
+		c.Check(f.Overwhelmed(), qt.Equals, shed(lag, false, highest), qt.Commentf("%v", lag))
+	}
+}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -24,10 +24,11 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// ProgressTimeout is the maximum time between two bytes of the response.
+	// ProgressTimeout is the maximum time between two bytes of the response, unless
+	// OnSilence is set.
 	ProgressTimeout time.Duration
 	// HeaderTimeout is the maximum time until the response begins, including
-	// the dial.
+	// the dial, unless OnSilence is set.
 	HeaderTimeout time.Duration
 	// MaxAnswerBytes is the maximum size of the response body.
 	MaxAnswerBytes int64
@@ -56,6 +57,15 @@
 	// cancelled with the cause ErrSilent. If OnSilence is nil, the call ends. While it
 	// runs, no method of the sink does.
 	OnSilence func(silent time.Duration)
+	// OnConnected may change the header of the request when there is a connection, before
+	// the request is written. Optional.
+	OnConnected func(header http.Header)
+	// CallerDisconnected reports whether the caller has disconnected. It is called right
+	// before the request is written to a connection; if it returns true, the call ends
+	// with the cause ErrCallerDisconnected and nothing is written. Optional.
+	CallerDisconnected func() bool
+	// OnSent is called once the request has been written to a connection. Optional.
+	OnSent func()
 	// Pooled lets a call that is not idempotent use an idle connection. If the
 	// endpoint closes that connection at the same moment, it is unknown whether
 	// the call ran.
@@ -91,6 +101,10 @@
 	FirstByte time.Duration
 }
 
+// ErrCallerDisconnected is the cause with which a call ends that was not sent because
+// its caller had disconnected.
+var ErrCallerDisconnected = errors.New("the caller has disconnected")
+
 // Do makes the call and passes the response to sink. The error is nil if and
 // only if Result.Complete is true; otherwise it is a *CallError. The request is
 // sent at most once: Do retries, on a new connection, only if an idle connection
@@ -109,7 +123,7 @@
 		return a.result, nil
 	}
 	if call.Raw {
-		c.bypassPoolIfSilent(call, err)
+		c.bypassPoolIfSilent(a, err)
 	} else {
 		c.handleFailure(ctx, call, a, err)
 	}
@@ -143,7 +157,7 @@
 	case Silent, ConnectionLost, Truncated:
 		err.Health = c.health(context.WithoutCancel(ctx), call.Address, call.Incarnation)
 	}
-	c.bypassPoolIfSilent(call, err)
+	c.bypassPoolIfSilent(a, err)
 	unwanted := err.Kind == TooLarge || err.Kind == CallerGone && err.sent
 	if unwanted && call.Stream {
 		c.Cancel(call)
@@ -151,10 +165,10 @@
 }
 
 // bypassPoolIfSilent stops using the idle connections to an endpoint after a
-// call on a reused connection timed out.
-func (c *Client) bypassPoolIfSilent(call Call, err *CallError) {
-	if err.Kind == Silent && err.Reused {
-		c.bypassPool(call.Address)
+// call on a reused connection ended while the endpoint was silent.
+func (c *Client) bypassPoolIfSilent(a *attempt, err *CallError) {
+	if err.Reused && a.silence.wasSilent() {
+		c.bypassPool(a.call.Address)
 	}
 }
 
@@ -171,6 +185,10 @@
 	start   time.Time
 	result  Result
 
+	// requestHeader is the header of the request. It does not change once the request is
+	// being written.
+	requestHeader http.Header
+
 	mu sync.Mutex
 	// conn is the connection in use, nil until there is one.
 	conn *countingConn
@@ -215,16 +233,11 @@
 	return callErr
 }
 
-func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countingConn)
-	if !ok {
-		return
+// wroteRequest reports that the request has been sent.
+func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
+	if a.call.OnSent != nil && info.Err == nil {
+		a.call.OnSent()
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conn = conn
-	a.writesBefore = conn.writeCount()
-	a.reused = info.Reused
 }
 
 // abandonedConn describes the connection of a call that was given up.
