Take stalls of the soak itself for faults

Endpoints, callers and relays are goroutines of the soak. When it does not run, all of them are frozen at once, and a pause of 2 s can last longer than a request may.

A stall of 0.5 s or more is listed with the faults, and requests beside it do not count as in calm time, as with every other fault. The checks without a time bound hold all the while.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -75,5 +75,5 @@
 
 // faultFree reports whether the whole interval lies in the period without faults.
 func (s *Site) faultFree(from, to time.Duration) bool {
-	return from >= s.faultFreeFrom && (s.faultFreeUntil == 0 || to <= s.faultFreeUntil)
+	return from >= s.faultFreeFrom && (s.faultFreeUntil == 0 || to <= s.faultFreeUntil) && !s.stalled(from, to)
 }
--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -43,6 +43,7 @@
 			s.recorder.addFinding("SOAK", "%v", err)
 		}
 	}
+	s.background.Go(func() { s.watchStalls(runCtx) })
 	s.startCallers(runCtx, s.config.Callers)
 	reads := newRandom(random)
 	s.background.Go(func() { s.readRoutingTables(runCtx, reads) })
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -113,8 +113,10 @@
 	lastDiskFault time.Time
 	// callerCount is the number of callers so far, and the next one's number.
 	callerCount int
-	// pauses holds the pauses of endpoints that have ended.
+	// pauses holds the pauses of endpoints that have ended, stalls the times in which
+	// this process did not run.
 	pauses []endpointPause
+	stalls []stall
 }
 
 // Run executes one run. It returns an error if the site could not be started;
