Send requests to idle endpoints of a plain service that was slow

Cause: the answer time of a plain service is predicted by a moving average of its answers. Once that exceeds what the route allows, no endpoint was in time, nothing was sent, and no answer could lower the average again. The class: a measure that ends what it is taken from.

An idle endpoint is now in time while the average alone exceeds the limit, as an idle engine is, so that answers follow and the average comes down.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -148,19 +148,22 @@
 
 // inTime reports whether the first event and the whole answer are predicted to
 // come in time. A prompt that would exceed the maximum response time even on an
-// idle engine may wait for latePromptFraction of that time in addition.
+// idle engine may wait for latePromptFraction of that time in addition. If a
+// plain service was slower than that time, its idle endpoints count as in time: only
+// an answer can show that they no longer are.
 func (s *service) inTime(e *endpoint, load Load, d Demand, predicted, idlePredicted float64) bool {
 	limit := milliseconds(d.MaxResponseTime)
-	if s.engine != nil {
-		if float64(load.Prefill)/e.rate > prefillQueueFraction*limit {
-			return false
-		}
-		limit = max(limit, idlePredicted+latePromptFraction*limit)
+	if s.engine == nil {
+		return predicted <= limit || idlePredicted > limit && load.Running == 0
+	}
+	if float64(load.Prefill)/e.rate > prefillQueueFraction*limit {
+		return false
 	}
+	limit = max(limit, idlePredicted+latePromptFraction*limit)
 	if predicted > limit {
 		return false
 	}
-	if s.engine == nil || s.engine.TokensPerEvent == 0 || d.MaxTotalTime == 0 {
+	if s.engine.TokensPerEvent == 0 || d.MaxTotalTime == 0 {
 		return true
 	}
 	events := float64(d.Prompt.Output) / float64(s.engine.TokensPerEvent)
