Forget the event interval of an engine at which nothing runs

What callers would see: a router never sends to an engine again, or refuses requests as busy, after a pause of that engine's streams. The interval between events is a moving average of what comes from the engine; once it predicts that answers last too long, the router sends nothing there, and no event lowers it. The interval now counts only while a request of this router runs there. TestPausesDoNotExcludeAnEngine failed before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -242,6 +242,16 @@
 	return e.own.Add(e.others)
 }
 
+// eventInterval returns the time between two events of a stream, in milliseconds; 0 if
+// it is not known. While no request of this router runs there, nothing would correct an
+// interval that a pause has raised.
+func (e *endpoint) eventInterval() float64 {
+	if e.own.Running == 0 {
+		return 0
+	}
+	return e.eventIntervalMS
+}
+
 // down reports whether the endpoint currently gets no requests.
 func (e *endpoint) down(now time.Time) bool {
 	if e.leaving || now.Before(e.pausedUntil) {
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -167,7 +167,7 @@
 		return true
 	}
 	events := float64(d.Prompt.Output) / float64(s.engine.TokensPerEvent)
-	return predicted+events*e.eventIntervalMS <= milliseconds(d.MaxTotalTime)
+	return predicted+events*e.eventInterval() <= milliseconds(d.MaxTotalTime)
 }
 
 // cacheHolders records which endpoints of a service have cached parts of a prompt.
--- a/internal/balance/slowanswers_test.go
+++ b/internal/balance/slowanswers_test.go
@@ -30,3 +30,19 @@
 	later := at(2).Add(time.Minute)
 	c.Check(b.Choose(later, demand).Reason, qt.Equals, balance.Reason(""))
 }
+
+// TestPausesDoNotExcludeAnEngine guards against an engine that gets no more requests of a
+// router once its streams have paused: without events nothing lowers the interval between
+// them that the router expects.
+func TestPausesDoNotExcludeAnEngine(t *testing.T) {
+	c := qt.New(t)
+	b := engines(c, 1)
+	d := newDemand(prompt(1000, ""))
+	d.MaxTotalTime = 2 * time.Second
+	r := b.Begin(start, d, b.Choose(start, d))
+	r.RecordEvents(start, 1)
+	r.RecordEvents(at(1.5), 1)
+	c.Check(b.Choose(at(1.5), d).Reason, qt.Equals, balance.Busy)
+	r.End(at(1.6), balance.Answered)
+	c.Check(b.Choose(at(1.6), d).Reason, qt.Equals, balance.Reason(""))
+}
