--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -55,8 +55,8 @@
 	switch {
 	case r.kind.atMostOnce && runs > 1:
 		s.recorder.addFinding("TWICE", "%s (%s) ran %d times", r.id, r.kind.name, runs)
-	case runs > maxAttempts:
-		s.recorder.addFinding("BUDGET", "%s (%s) ran %d times with at most %d attempts allowed", r.id, r.kind.name, runs, maxAttempts)
+	case r.endpoints() > maxAttempts:
+		s.recorder.addFinding("BUDGET", "%s (%s) ran at %d endpoints with at most %d allowed", r.id, r.kind.name, r.endpoints(), maxAttempts)
 	case r.kind.atMostOnce && outside.GuaranteesNotRun(r.status) && runs > 0:
 		s.recorder.addFinding("REFUSED", "%s (%s) was refused with status %d but ran", r.id, r.kind.name, r.status)
 	case r.failure != nil && !r.abandoned && runs > 0 && s.faultFree(r.began-stabilizationTime, r.ended):
@@ -66,6 +66,15 @@
 	}
 }
 
+// endpoints returns the number of endpoints that ran the request.
+func (r *sentRequest) endpoints() int {
+	ran := make(map[string]bool)
+	for _, e := range r.executions {
+		ran[e.endpoint] = true
+	}
+	return len(ran)
+}
+
 // wasRead reports whether the router has read the whole request, as far as its caller
 // can tell: the connection was not closed around the last byte, nor reset, as it is if
 // bytes are unread.
