Let endpoints of the soak listen again for two seconds

Likely cause, not shown: the soak starts processes all the time, and between fork and exec each has a copy of all its sockets, so that a listener that was just closed still listens there. Only the soak's own set-up waits; what it checks is unchanged.

--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -93,7 +92,7 @@
 // start starts a new incarnation for a service, with a new id. The clock of the
 // endpoint is ahead by 0, 1 or 2 times clockSkew.
 func (e *Endpoint) start(service string) error {
-	listener, err := net.Listen("tcp", e.listen)
+	listener, err := listenAgain(e.listen)
 	if err != nil {
 		return fmt.Errorf("endpoint %d: %w", e.number, err)
 	}
