--- a/internal/daemon/listeners_test.go
+++ b/internal/daemon/listeners_test.go
@@ -14,7 +14,7 @@
 	"oleanderramp/internal/settings"
 )
 
-// TestShutdownWaitsForAnswer guards against LOST: an answer that its handler has
+// TestShutdownWaitsForAnswer guards against a request without an answer: an answer that its handler has
 // left to the server to write is cut by a shutdown.
 func TestShutdownWaitsForAnswer(t *testing.T) {
 	c := qt.New(t)
@@ -34,7 +34,7 @@
 	c.Check(readBody(c, conn), qt.Equals, "answer")
 }
 
-// TestShutdownWaitsForBody guards against LOST: a shutdown cuts a request whose
+// TestShutdownWaitsForBody guards against a request without an answer: a shutdown cuts a request whose
 // header was read and whose body is on its way.
 func TestShutdownWaitsForBody(t *testing.T) {
 	c := qt.New(t)
@@ -57,7 +57,7 @@
 	c.Check(readBody(c, conn), qt.Equals, "body")
 }
 
-// TestShutdownWaitsForHeader guards against LOST: a shutdown closes a connection on
+// TestShutdownWaitsForHeader guards against a request without an answer: a shutdown closes a connection on
 // which a request has begun to arrive, and the request gets neither an answer nor a
 // refusal.
 func TestShutdownWaitsForHeader(t *testing.T) {
--- a/internal/edge/answer_test.go
+++ b/internal/edge/answer_test.go
@@ -10,7 +10,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestReadyAnswerIsWrittenLate guards against LOST: an answer that was complete was
+// TestReadyAnswerIsWrittenLate guards against a complete answer that was
 // not written and the connection broken off, because the daemon came to write it
 // only after the request's deadline.
 func TestReadyAnswerIsWrittenLate(t *testing.T) {
--- a/internal/site/drain_test.go
+++ b/internal/site/drain_test.go
@@ -41,7 +41,7 @@
 	c.Check(d.Close(), qt.IsNil)
 }
 
-// TestDrainWaitsForAnswer guards against LOST: at a shutdown, an answer was cut
+// TestDrainWaitsForAnswer guards against a request without an answer: at a shutdown, an answer was cut
 // that was forwarded but not yet written to the caller's connection.
 func TestDrainWaitsForAnswer(t *testing.T) {
 	t.Parallel()
@@ -61,7 +61,7 @@
 	readEcho(c, conn, "answer")
 }
 
-// TestDrainWaitsForRequest guards against LOST: at a shutdown, a connection was
+// TestDrainWaitsForRequest guards against a request without an answer: at a shutdown, a connection was
 // closed on which a request had begun to arrive.
 func TestDrainWaitsForRequest(t *testing.T) {
 	for name, reuse := range map[string]bool{"new connection": false, "kept connection": true} {
--- a/internal/site/idle_test.go
+++ b/internal/site/idle_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// TestIdleTimeoutDuringRequest guards against LOST: a request ended without an
+// TestIdleTimeoutDuringRequest guards against a request without an answer: a request ended without an
 // answer because the idle timeout passed after its header was read and before the
 // server reported the connection as active.
 func TestIdleTimeoutDuringRequest(t *testing.T) {
@@ -99,7 +99,7 @@
 	}
 }
 
-// TestIdleTimeoutDuringHeader guards against LOST: a request ended without an
+// TestIdleTimeoutDuringHeader guards against a request without an answer: a request ended without an
 // answer because the idle timeout passed while its header arrived.
 func TestIdleTimeoutDuringHeader(t *testing.T) {
 	for _, part := range []string{"P", "POST / HT", "POST / HTTP/1.1\r\nHost: h\r\n"} {
@@ -116,7 +116,7 @@
 	}
 }
 
-// TestIdleTimeoutAfterByteReadAhead guards against LOST: a request ended without
+// TestIdleTimeoutAfterByteReadAhead guards against a request without an answer: a request ended without
 // an answer because its first byte arrived before the server had finished with the
 // request before, and the rest after the idle timeout.
 func TestIdleTimeoutAfterByteReadAhead(t *testing.T) {
@@ -162,7 +162,7 @@
 	return accepted, client
 }
 
-// TestLateReaderReadsArrivedRequest guards against LOST: a daemon that was late to
+// TestLateReaderReadsArrivedRequest guards against a request without an answer: a daemon that was late to
 // read closed a connection as idle on which a request had arrived.
 func TestLateReaderReadsArrivedRequest(t *testing.T) {
 	c := qt.New(t)
--- a/internal/site/idlelimit_test.go
+++ b/internal/site/idlelimit_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestIdleTimeoutThatGrows guards against LOST: a routing table raised the idle
+// TestIdleTimeoutThatGrows guards against a request without an answer: a routing table raised the idle
 // timeout while a connection was idle, and a request that its caller sent within
 // the new one found the connection closed.
 func TestIdleTimeoutThatGrows(t *testing.T) {
