Count a rejected connection before it is closed

The rejected caller sees the end of its connection before the listener counts it, so that a metric read by whoever was just rejected lacks it. The test is unchanged.

--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -105,8 +105,9 @@
 		if !l.rejects() {
 			return newAcceptedConn(time.Now(), conn, l.open), nil
 		}
+		l.open.rejected.Add(1)
 		_ = conn.Close() // The caller may have disconnected.
-		l.open.rejected.Add(1 + closeQueued(l.Listener, l.rejects))
+		l.open.rejected.Add(closeQueued(l.Listener, l.rejects))
 	}
 }
 
