Announce the close of connections whose request outlasts a shutdown signal

What callers saw, in a test: the answer to a request that was in progress when its daemon began to shut down did not say that the connection would be closed, as that was decided when the request arrived. The daemon closes such connections as soon as it closes idle ones, and a caller that sent its next request at that moment got neither an answer nor a refusal; for one that may run once, it can't tell whether it ran.

Whether the connection is closed is now decided when the header of the answer is written. The header of a stream that has begun can't change any more.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -22,8 +22,11 @@
 	stream          bool
 	resumableRoute  bool
 	closeConnection bool
-	reservation     *reservation
-	deadline        time.Time
+	// draining reports whether the daemon is shutting down, so that the connection
+	// takes no further request.
+	draining    func() bool
+	reservation *reservation
+	deadline    time.Time
 	// onFirstEvent is called at the first event of a stream.
 	onFirstEvent func()
 
@@ -71,9 +74,15 @@
 		// A nil entry keeps the server from detecting a content type.
 		target["Content-Type"] = nil
 	}
-	if a.closeConnection {
-		target.Set("Connection", "close")
+}
+
+// writeHead writes the status and the header, and announces whether the connection is
+// closed after the answer.
+func (a *answer) writeHead(status int) {
+	if a.closeConnection || a.draining() {
+		a.w.Header().Set("Connection", "close")
 	}
+	a.w.WriteHeader(status)
 }
 
 // write forwards the next bytes.
@@ -124,7 +133,7 @@
 	if !a.sent {
 		a.sent = true
 		a.extendWriteDeadline(time.Now())
-		a.w.WriteHeader(a.status)
+		a.writeHead(a.status)
 	}
 	_, err := a.buffered.WriteTo(a.w)
 	if err != nil {
@@ -141,7 +150,7 @@
 	a.sent = true
 	a.extendWriteDeadline(time.Now())
 	a.w.Header().Set("Content-Length", strconv.Itoa(a.buffered.Len()))
-	a.w.WriteHeader(a.status)
+	a.writeHead(a.status)
 	_, err := a.buffered.WriteTo(a.w)
 	return err
 }
@@ -173,12 +182,9 @@
 	if f.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', -1, 64))
 	}
-	if a.closeConnection {
-		header.Set("Connection", "close")
-	}
 	body, _ := json.Marshal(errorBody{Error: errorDetail{Code: f.code, Message: f.message, Outcome: f.outcome, Request: requestID}}) // Strings can always be encoded.
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	a.w.WriteHeader(f.status)
+	a.writeHead(f.status)
 	_, _ = a.w.Write(body) // The caller may be gone.
 }
 
--- a/internal/edge/answer_test.go
+++ b/internal/edge/answer_test.go
@@ -16,7 +16,7 @@
 func TestReadyAnswerIsWrittenLate(t *testing.T) {
 	c := qt.New(t)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		a := &answer{w: w, control: http.NewResponseController(w), deadline: time.Now().Add(-time.Second), status: http.StatusOK}
+		a := &answer{w: w, control: http.NewResponseController(w), deadline: time.Now().Add(-time.Second), status: http.StatusOK, draining: func() bool { return false }}
 		_, _ = a.buffered.WriteString("answer") // Writing to a buffer never fails.
 		if a.finish() != nil {
 			panic(http.ErrAbortHandler)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -587,6 +587,36 @@
 	c.Check(err, qt.Equals, io.EOF)
 }
 
+// TestDrainAnnouncesCloseOfRequestInProgress guards against requests that get neither an
+// answer nor a refusal: a daemon that shut down while it forwarded a request did not say
+// that it would close the connection, and closed it as the caller sent the next one.
+func TestDrainAnnouncesCloseOfRequestInProgress(t *testing.T) {
+	tests := []struct {
+		name, path string
+		endpoint   http.HandlerFunc
+		want       int
+	}{
+		{"answer", "/safe/", ok("a"), http.StatusOK},
+		{"stream", "/stream/", events(1, 2, true), http.StatusOK},
+		{"endpoint's own error", "/unsafe/", status(http.StatusInternalServerError), http.StatusInternalServerError},
+		{"failure", "/unsafe/", abortConnection, http.StatusBadGateway},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			var s *site
+			s = newSite(c, newEndpoint(c, func(w http.ResponseWriter, r *http.Request) {
+				s.forwarder.Drain()
+				test.endpoint(w, r)
+			}))
+			response, _, err := s.ask(c, "POST", test.path, "x", map[string]string{"Oleanderramp-Key": "secret"})
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.want)
+			c.Check(response.Close, qt.IsTrue)
+		})
+	}
+}
+
 // TestRefusingForwardsNothing checks that a daemon that is about to stop
 // forwards no request, because it could not complete it.
 func TestRefusingForwardsNothing(t *testing.T) {
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -16,7 +16,7 @@
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	request := f.cfg.Codec.Decode(r)
-	a := &answer{w: w, control: http.NewResponseController(w), closeConnection: f.draining.Load()}
+	a := &answer{w: w, control: http.NewResponseController(w), draining: f.draining.Load}
 	t := &task{request: request, answer: a}
 	resolveFailure := f.resolve(t)
 	failed := f.rejectEarly(t, resolveFailure == nil)
