Forward a second endpoint's error response if the first one fails

What callers saw, in a test: a request got 502, or 504 at its deadline, though its second endpoint had answered with a complete 404. While the first endpoint of a hedged request was silent, an error status of the second was thrown away, as the first might still answer; when it failed, broke off or stayed silent, nothing was left.

The capacity of the second endpoint is released when its response is complete. A third endpoint is not asked meanwhile.

TestErrorOfSecondEndpointIsForwarded failed before in four of its five cases (the fifth shows that the first endpoint's answer is preferred).

--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -16,9 +16,8 @@
 // directly after the last forwarded event.
 var errNotResumed = fmt.Errorf("%w: it does not follow the last event", endpoint.ErrWrongAnswer)
 
-// errRejected rejects the error response of a second endpoint while the first may still
-// answer.
-var errRejected = fmt.Errorf("%w: the first endpoint may still answer", endpoint.ErrWrongAnswer)
+// errTooLargeToHold rejects a lastResort answer that exceeds maxBufferedBytes.
+var errTooLargeToHold = fmt.Errorf("%w: the first endpoint may still answer", endpoint.ErrWrongAnswer)
 
 // attemptCall is a call of an attempt to one endpoint. It is the sink of the call.
 type attemptCall struct {
@@ -39,6 +38,9 @@
 	status int
 	header http.Header
 	held   bytes.Buffer
+	// lastResort is true for the error response of a second endpoint. It is forwarded
+	// only once the first has failed.
+	lastResort bool
 	// done is closed when the call has ended, with err.
 	done chan struct{}
 	err  *endpoint.CallError
@@ -56,13 +58,22 @@
 	defer close(c.done)
 	defer c.cancel(nil)
 	_, err := c.attempt.forwarder.cfg.Endpoints.Do(c.ctx, call, c)
-	if err == nil {
+	if err == nil && !c.lastResort {
 		err = c.forward(nil)
 	}
+	c.setError(err)
+	c.recordAtEndpoint(time.Now())
+	if err == nil && c.lastResort {
+		<-c.attempt.first.done
+		c.setError(c.forward(nil))
+	}
+}
+
+// setError records the error with which the call has ended, if any.
+func (c *attemptCall) setError(err error) {
 	if err != nil && !errors.As(err, &c.err) {
 		c.err = endpoint.NewCallError(endpoint.CallerGone, err)
 	}
-	c.recordAtEndpoint(time.Now())
 }
 
 // outpaced reports whether the call was cancelled because the other one answered.
@@ -125,9 +136,7 @@
 		}
 		return nil
 	}
-	if status >= http.StatusBadRequest && c.attempt.mayOutpace(c) {
-		return errRejected
-	}
+	c.lastResort = status >= http.StatusBadRequest && c.attempt.mayOutpace(c)
 	c.status, c.header = status, header
 	return nil
 }
@@ -141,11 +150,16 @@
 	if !c.continuesStream(p) {
 		return errNotResumed
 	}
-	if !c.attempt.task.isStream() && c.held.Len()+len(p) <= maxBufferedBytes {
+	fits := c.held.Len()+len(p) <= maxBufferedBytes
+	switch {
+	case fits && (c.lastResort || !c.attempt.task.isStream()):
 		c.held.Write(p)
 		return nil
+	case c.lastResort:
+		return errTooLargeToHold
+	default:
+		return c.forward(p)
 	}
-	return c.forward(p)
 }
 
 // forward makes the call's answer the one that is forwarded, and forwards what was held
--- a/internal/edge/hedge_test.go
+++ b/internal/edge/hedge_test.go
@@ -156,3 +156,32 @@
 	c.Check(response.StatusCode, qt.Equals, http.StatusInternalServerError)
 	c.Check(body, qt.Equals, "endpoint error")
 }
+
+// TestErrorOfSecondEndpointIsForwarded guards against a failure in place of an answer:
+// the second endpoint had answered with an error of the client, which was thrown away
+// because the first one might still answer, and the first one did not.
+func TestErrorOfSecondEndpointIsForwarded(t *testing.T) {
+	tests := []struct {
+		name, route string
+		first       http.HandlerFunc
+		status      int
+	}{
+		{"first breaks", "safe", late(400*time.Millisecond, abortConnection), http.StatusNotFound},
+		{"first refuses", "safe", late(400*time.Millisecond, notRun), http.StatusNotFound},
+		{"first is silent until the deadline", "safe", late(1500*time.Millisecond, ok("a")), http.StatusNotFound},
+		{"first is a stream that breaks", "resumable", late(400*time.Millisecond, abortConnection), http.StatusNotFound},
+		{"first answers", "safe", late(400*time.Millisecond, ok("a")), http.StatusOK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := newSite(c, newEndpoint(c, test.first), newEndpoint(c, status(http.StatusNotFound)))
+			s.setRoute(c, test.route, func(r *routing.Route) { r.Objective = 50 * time.Millisecond })
+			response, body, err := s.ask(c, "POST", "/"+test.route+"/", "x", map[string]string{"Oleanderramp-Key": "secret", "Oleanderramp-Deadline-Ms": "1000"})
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.status)
+			c.Check(body, qt.Equals, map[int]string{http.StatusOK: "a", http.StatusNotFound: "endpoint error"}[test.status])
+		})
+	}
+}
