Sync the data folder when it is opened

What callers could see: an acknowledged routing table, or a vote, that a control host lost at a power loss, in a folder whose previous process had been killed.

The next process read the file, synced the content of the last segment and appended to it, but nothing synced the name, so that a later power loss took the whole segment with what was acknowledged since.

Evidence: the property test knew only crashes of the host. Opening the folder now syncs it before anything is read: what is read is durable, and a rename of damaged files, which follows an Open, finds the removal of the identity synced.

--- a/internal/disk/disk_test.go
+++ b/internal/disk/disk_test.go
@@ -231,6 +231,23 @@
 	qt.Assert(t, stored.Entries, qt.HasLen, 0)
 }
 
+// TestFolderOfKilledProcessIsSynced guards against the loss of acknowledged entries
+// at a power loss after a kill: the process is killed between the write of a new
+// segment and the sync of its name, and the next process appends to that segment.
+func TestFolderOfKilledProcessIsSynced(t *testing.T) {
+	const createWriteSyncAndSyncFolder = 4
+	folder := newMemoryFolder()
+	store := openStore(t, folder)
+	folder.failIn = createWriteSyncAndSyncFolder
+	qt.Assert(t, store.Save(raft.HardState{Term: 1}, []raft.Entry{entry(1, "x")}, nil), qt.ErrorIs, syscall.EIO)
+	folder.kill()
+	store = openStore(t, folder)
+	qt.Assert(t, store.Load().Entries, qt.HasLen, 1)
+	qt.Assert(t, store.Save(raft.HardState{Term: 1, Commit: 2}, []raft.Entry{entry(2, "acknowledged")}, nil), qt.IsNil)
+	folder.crash(func(n int) int { return n - 1 })
+	qt.Assert(t, openStore(t, folder).Load().Entries, qt.HasLen, 2)
+}
+
 // TestHardStateSurvivesTornSegment crashes while a new segment is started, and
 // then compacts the log, which may remove the earlier segments. The vote must
 // not be lost with them.
--- a/internal/disk/memory_test.go
+++ b/internal/disk/memory_test.go
@@ -43,6 +43,13 @@
 	return m.failIn == 0
 }
 
+// kill ends the process that has the folder open. Nothing is lost, and what was not
+// synced is still not.
+func (m *memoryFolder) kill() {
+	m.locked = false
+	m.failIn = 0
+}
+
 // crash discards a random part of what was not synced. choose returns a number
 // from 0 to n-1.
 func (m *memoryFolder) crash(choose func(n int) int) {
@@ -66,8 +73,7 @@
 	}
 	m.files = kept
 	m.durable = maps.Clone(kept)
-	m.locked = false
-	m.failIn = 0
+	m.kill()
 }
 
 // afterCrash returns the synced content, followed by a part of the unsynced
--- a/internal/disk/property_test.go
+++ b/internal/disk/property_test.go
@@ -188,10 +188,14 @@
 	return errors.As(err, &failure) && failure.Retryable()
 }
 
-// reopen crashes and opens the folder, which must hold one of the allowed
-// states.
+// reopen crashes the host or only kills the process, and opens the folder, which
+// must hold one of the allowed states.
 func (s *modelTest) reopen(allowed []model) {
-	s.folder.crash(s.choose)
+	if s.choose(2) == 0 {
+		s.folder.kill()
+	} else {
+		s.folder.crash(s.choose)
+	}
 	s.open()
 	got := model(s.store.Load())
 	for _, want := range allowed {
--- a/internal/disk/recover.go
+++ b/internal/disk/recover.go
@@ -13,6 +13,11 @@
 
 // recover reads the folder into s.stored and opens the last segment.
 func (s *Store) recover() error {
+	// A process that was killed may have left names that are not synced. What
+	// is read here is relied on from now on.
+	if err := s.syncFolder(); err != nil {
+		return &WriteError{operation: "sync the folder", err: err}
+	}
 	names, err := s.fs.Names()
 	if err != nil {
 		return err
