Let control hosts of the soak lose what they did not sync

The soak ends and begins with kills by SIGKILL, which keep what was written and not synced, so that a missing sync was never found between processes. The soak now starts its control hosts as its own program, with the replicated log in a powerloss.Folder: writes, truncations, new, renamed and removed names stay in the memory of the process until they are synced, and a part of them reaches the folder early, some sectors as zeros.

The final fault also strikes while the quorum replaces a member whose disk was lost up to 2 s before, which counts as one of the lost disks, and in half of the runs also right after the first order.

The disk package's simulated folder shares how torn writes look.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,7 +26,7 @@
     Each seed is a separate run of control hosts, routers, stand-in endpoints,
     callers and operators, as processes connected by relays on loopback. Faults
     are injected from outside: killed, stopped and paused processes, severed,
-    delayed, reset and silent connections, lost disks, torn writes, and
+    delayed, reset and silent connections, lost disks, torn and lost writes, and
     endpoints that crash, leave and fail. What callers, endpoints and operators
     observe is checked against the guarantees of the site. A run ends only
     processes that it has started.
@@ -41,12 +42,14 @@
 func main() {
 	command := &cli.Command{
 		Name: "soak", Usage: "run a site under random faults", Description: help, Action: run,
+		Commands: []*cli.Command{controlHostCommand},
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds"},
 			&cli.IntFlag{Name: "jobs", Value: 2, Usage: "number of concurrent runs"},
 			&cli.StringFlag{Name: "keep", Usage: "parent folder for the folders of runs with findings; default: a temporary folder"},
 			&cli.StringFlag{Name: "program", Usage: "path of the program; default: oleanderramp in the folder of this program"},
+			&cli.BoolFlag{Name: "power-loss", Value: true, Usage: "control hosts lose at a kill what they did not sync"},
 			&cli.IntFlag{Name: "controls"}, &cli.IntFlag{Name: "routers"}, &cli.IntFlag{Name: "endpoints"}, &cli.IntFlag{Name: "callers"},
 			&cli.DurationFlag{Name: "faults", Value: 12 * time.Second, Usage: "duration of fault injection"},
 			&cli.DurationFlag{Name: "pauses", Value: 10 * time.Second, Usage: "duration of the pauses of sound endpoints"},
@@ -63,13 +66,14 @@
 var errFindings = errors.New("guarantees were violated")
 
 func run(_ context.Context, c *cli.Command) error {
-	program := c.String("program")
-	if program == "" {
-		executable, err := os.Executable()
-		if err != nil {
-			return fmt.Errorf("locate the program: %w", err)
-		}
-		program = filepath.Join(filepath.Dir(executable), "oleanderramp")
+	executable, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("locate the program: %w", err)
+	}
+	program := cmp.Or(c.String("program"), filepath.Join(filepath.Dir(executable), "oleanderramp"))
+	controlProgram := program
+	if c.Bool("power-loss") {
+		controlProgram = executable
 	}
 	folder := c.String("keep")
 	if folder == "" {
@@ -89,7 +93,7 @@
 		jobs.Go(func() {
 			for seed := range seeds {
 				config := soak.Config{
-					Program: program, Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)), Seed: seed,
+					Program: program, ControlProgram: controlProgram, Folder: filepath.Join(folder, fmt.Sprint("seed-", seed)), Seed: seed,
 					Network:  [2]byte{byte(128 + os.Getpid()%100), byte(4 * job)},
 					Controls: c.Int("controls"), Routers: c.Int("routers"), Endpoints: c.Int("endpoints"), Callers: c.Int("callers"),
 					Faults: c.Duration("faults"), Pauses: c.Duration("pauses"), FinalFault: c.Bool("final-fault"),
--- a/internal/daemon/replicarole.go
+++ b/internal/daemon/replicarole.go
@@ -74,7 +74,11 @@
 
 // newReplicaRole opens the data folder and starts the replica.
 func newReplicaRole(s *settings.Settings, options Options, m *members, dialer *peer.Dialer, l log.Interface) (*replicaRole, error) {
-	storage, err := stateserver.OpenStorage(s.DataFolder, s.Host, l)
+	files, err := disk.OpenFolder(s.DataFolder)
+	if err != nil {
+		return nil, fmt.Errorf("open data folder: %w", err)
+	}
+	storage, err := stateserver.OpenStorage(files, disk.Options{Host: s.Host}, l)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/disk/memory_test.go
+++ b/internal/disk/memory_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"oleanderramp/internal/disk"
+	"oleanderramp/internal/soak/powerloss"
 )
 
 // memoryFile is a file in memory with the content that survives a crash.
@@ -79,19 +80,10 @@
 // afterCrash returns the synced content, followed by a part of the unsynced
 // content in which some sectors are zeros.
 func (f *memoryFile) afterCrash(choose func(n int) int) []byte {
-	const sector = 512
 	if len(f.content) <= len(f.synced) {
 		return slices.Clone(f.synced)
 	}
-	content := slices.Clone(f.content[:len(f.synced)+choose(len(f.content)-len(f.synced)+1)])
-	for start := len(f.synced); start < len(content); {
-		end := min(len(content), (start/sector+1)*sector)
-		if choose(4) == 0 {
-			clear(content[start:end])
-		}
-		start = end
-	}
-	return content
+	return powerloss.Torn(f.content, len(f.synced), choose)
 }
 
 func (m *memoryFolder) Names() ([]string, error) {
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -49,6 +49,7 @@
 	self     *wire.Process
 	started  time.Time
 	dialer   *peer.Dialer
+	storage  Storage
 
 	store      *state.Store
 	replica    *replica.Replica
@@ -90,7 +91,7 @@
 func newControl(d *Daemon) (*control, error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &control{
-		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, started: time.Now(), dialer: d.dialer, stop: cancel,
+		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, started: time.Now(), dialer: d.dialer, storage: d.storage, stop: cancel,
 		store: state.NewStore(state.Limits{}), replicator: peer.NewReplicator(d.dialer), failed: make(chan error, 1), quorumLog: stateserver.NewQuorumLogger(d.log),
 		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
 		cursors: make(map[string]syncCursor), inFlight: make(map[string]bool), cached: prefixes.New(),
--- a/internal/site/quorum.go
+++ b/internal/site/quorum.go
@@ -39,16 +39,21 @@
 // replica whose data is missing or damaged waits until it is added.
 func (c *control) startReplica() error {
 	bootstrap := c.shouldBootstrap()
-	storage, err := stateserver.OpenStorage(c.settings.DataFolder, c.settings.PeerAddress(), c.log)
+	files, err := c.storage.Open(c.settings.DataFolder)
+	if err != nil {
+		return fmt.Errorf("open data folder: %w", err)
+	}
+	options := disk.Options{Host: c.settings.PeerAddress(), SegmentBytes: c.storage.SegmentBytes}
+	storage, err := stateserver.OpenStorage(files, options, c.log)
 	var damage *disk.DamageError
 	if errors.As(err, &damage) {
 		bootstrap = false
-		storage, err = stateserver.ReplaceStorage(c.settings.DataFolder, c.settings.PeerAddress(), c.log)
+		storage, err = stateserver.ReplaceStorage(files, options, c.log)
 	}
 	if err != nil {
 		return err
 	}
-	cfg := replica.Config{Join: !bootstrap, Raft: raft.Config{
+	cfg := replica.Config{Join: !bootstrap, SnapshotBytes: c.storage.SnapshotBytes, Raft: raft.Config{
 		TargetVoters: repair.MinVoters(c.settings.ToleratedHosts),
 		Random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"oleanderramp/internal/directory"
+	"oleanderramp/internal/disk"
 	"oleanderramp/internal/edge"
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
@@ -61,12 +62,23 @@
 	Routing(ctx context.Context) ([]byte, error)
 }
 
+// Storage is how a control host stores the replicated log.
+type Storage struct {
+	// Open opens the data folder at path.
+	Open func(path string) (disk.FileSystem, error)
+	// SegmentBytes and SnapshotBytes are as in disk.Options and replica.Config. 0 stands
+	// for their defaults.
+	SegmentBytes  int64
+	SnapshotBytes int
+}
+
 // Daemon is a running daemon of a site.
 type Daemon struct {
 	settings *settings.Site
 	adapter  Adapter
 	log      log.Interface
 	self     *wire.Process
+	storage  Storage
 	registry *prometheus.Registry
 	dialer   *peer.Dialer
 	control  *control
@@ -80,8 +92,13 @@
 // New starts a daemon with the roles in its settings. If it returns an error,
 // nothing is left running.
 func New(s *settings.Site, adapter Adapter, l log.Interface) (*Daemon, error) {
+	return NewWithStorage(s, adapter, l, Storage{Open: disk.OpenFolder})
+}
+
+// NewWithStorage starts a daemon as New does, with another storage.
+func NewWithStorage(s *settings.Site, adapter Adapter, l log.Interface, storage Storage) (*Daemon, error) {
 	d := &Daemon{
-		settings: s, adapter: adapter, log: l,
+		settings: s, adapter: adapter, log: l, storage: storage,
 		self:     &wire.Process{Host: s.PeerAddress(), Incarnation: peer.NewIncarnation(time.Now(), s.PeerAddress())},
 		registry: telemetry.NewRegistry(), dialer: peer.NewAddressDialer(nil, s.PeerSource()),
 	}
--- a/internal/soak/finalfault.go
+++ b/internal/soak/finalfault.go
@@ -12,6 +12,9 @@
 const (
 	// maxStartDelay bounds how long after the final fault a process starts again.
 	maxStartDelay = time.Second
+	// maxRepairTime bounds how long before the final fault a control host may have lost its
+	// disk, so that the quorum may still be replacing its member.
+	maxRepairTime = 2 * time.Second
 	// killTimeout bounds the time until a killed process has ended.
 	killTimeout = time.Minute
 )
@@ -22,12 +25,35 @@
 func (s *Site) runFinalFault(ctx context.Context, random *rand.Rand) {
 	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancel()
+	var repaired *Process
+	if random.IntN(2) == 0 && s.tolerated() > 0 {
+		repaired = s.beginRepair(ctx, random)
+	}
 	version, body := s.versions.next(randomTable(random), false)
 	if !s.order(bounded, version, body, random) {
 		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v before the final fault", recoveryTimeout)
 		return
 	}
-	s.loseDisks(random)
+	s.loseDisksAfterAck(ctx, version, repaired, random)
+}
+
+// beginRepair makes a control host lose its disk and start again, and waits until its
+// member is added, has caught up, or has replaced the former one.
+func (s *Site) beginRepair(ctx context.Context, random *rand.Rand) *Process {
+	p := s.controls[random.IntN(len(s.controls))]
+	p.kill()
+	s.damageAfterLoss(p, true, random)
+	if err := p.start(); err != nil {
+		s.recorder.addFinding("SOAK", "start after a lost disk: %v", err)
+	}
+	sleep(ctx, randomDuration(random, 0, maxRepairTime))
+	return p
+}
+
+// loseDisksAfterAck loses disks right after the version was acknowledged, and checks that
+// it is there afterwards. The process repaired, if any, counts as one of the lost disks.
+func (s *Site) loseDisksAfterAck(ctx context.Context, version int, repaired *Process, random *rand.Rand) {
+	s.loseDisks(random, s.chooseLost(random, repaired))
 	recovery, cancelRecovery := context.WithTimeout(ctx, recoveryTimeout)
 	defer cancelRecovery()
 	s.checkAcknowledged(recovery, version)
@@ -39,10 +65,24 @@
 	}
 }
 
-// loseDisks kills all processes at the same moment and removes the data folders of up
-// to the tolerated number of control hosts, with torn writes on some of the others. It
-// starts all processes again.
-func (s *Site) loseDisks(random *rand.Rand) {
+// chooseLost returns up to the tolerated number of control hosts. The process repaired,
+// if any, counts as one of them, but may keep its new disk.
+func (s *Site) chooseLost(random *rand.Rand, repaired *Process) []*Process {
+	chosen := slices.Clone(s.controls)
+	random.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	if repaired == nil {
+		return chosen[:random.IntN(s.tolerated()+1)]
+	}
+	chosen = slices.DeleteFunc(chosen, func(p *Process) bool { return p == repaired })[:random.IntN(s.tolerated())]
+	if random.IntN(2) == 0 {
+		chosen = append(chosen, repaired)
+	}
+	return chosen
+}
+
+// loseDisks kills all processes at the same moment and removes the data folders of those
+// that are lost, with torn writes on some of the others. It starts all processes again.
+func (s *Site) loseDisks(random *rand.Rand, lost []*Process) {
 	processes := slices.Concat(s.controls, s.routers)
 	for _, p := range processes {
 		p.signal(syscall.SIGKILL)
@@ -53,9 +93,8 @@
 			s.recorder.addFinding("SOAK", "%s did not end within %v of SIGKILL", p.name(), killTimeout)
 		}
 	}
-	lost := random.IntN(s.tolerated() + 1)
-	for i, control := range random.Perm(len(s.controls)) {
-		s.damageAfterLoss(s.controls[control], i < lost, random)
+	for _, p := range s.controls {
+		s.damageAfterLoss(p, slices.Contains(lost, p), random)
 	}
 	random.Shuffle(len(processes), func(i, j int) { processes[i], processes[j] = processes[j], processes[i] })
 	for _, p := range processes {
--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -43,6 +43,10 @@
 			s.recorder.addFinding("SOAK", "%v", err)
 		}
 	}
+	// This has a random source of its own, so that a seed's faults do not depend on it.
+	if first := rand.New(rand.NewPCG(s.config.Seed, 1)); s.config.FinalFault && first.IntN(2) == 0 {
+		s.loseDisksAfterAck(runCtx, version, nil, first)
+	}
 	s.background.Go(func() { s.watchStalls(runCtx) })
 	s.startCallers(runCtx, s.config.Callers)
 	reads := newRandom(random)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -29,7 +29,10 @@
 	// settings, data and logs.
 	Program string
 	Folder  string
-	Seed    uint64
+	// ControlProgram is the path of the program of control hosts; Program if empty. It
+	// is started with the same arguments.
+	ControlProgram string
+	Seed           uint64
 	// Network is the second and third byte of the first of the four consecutive
 	// /24 networks in 127.0.0.0/8 that the run uses.
 	Network [2]byte
@@ -42,12 +45,13 @@
 	// they do not.
 	Pauses time.Duration
 	// FinalFault means that the run ends with a loss of disks while all processes are
-	// killed.
+	// killed. Half of the runs also begin with one, right after the first order.
 	FinalFault bool
 }
 
 // Defaults fills the fields that are unset.
 func (c *Config) Defaults() {
+	setDefault(&c.ControlProgram, c.Program)
 	setDefault(&c.Controls, 5)
 	setDefault(&c.Routers, 3)
 	setDefault(&c.Endpoints, 6)
@@ -210,12 +214,14 @@
 	for i := range min(seedCount, s.config.Controls) {
 		siteSettings.Seeds = append(siteSettings.Seeds, s.controlAddress(i))
 	}
+	program := s.config.Program
 	if role == settings.RoleReplica {
+		program = s.config.ControlProgram
 		siteSettings.DataFolder = filepath.Join(s.config.Folder, name)
 	}
 	siteSettings.Defaults()
 	return &Process{
-		program: s.config.Program, settings: siteSettings, folder: s.config.Folder,
+		program: program, settings: siteSettings, folder: s.config.Folder,
 		onUnexpectedExit: func(what string) { s.recorder.addFinding("ENDED", "%s %s", name, what) },
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -16,20 +16,24 @@
 // TestSeeds runs a short soak with one arbitrary seed and with each seed that
 // has exposed a fault before.
 func TestSeeds(t *testing.T) {
-	program := filepath.Join(t.TempDir(), "oleanderramp")
-	build := exec.Command("go", "build", "-o", program, "oleanderramp/cmd/oleanderramp")
+	programs := t.TempDir()
+	build := exec.Command("go", "build", "-o", programs, "oleanderramp/cmd/oleanderramp", "oleanderramp/cmd/soak")
 	build.Stderr = os.Stderr
 	qt.Assert(t, build.Run(), qt.IsNil)
+	program, losingPower := filepath.Join(programs, "oleanderramp"), filepath.Join(programs, "soak")
 	const faults, briefFaults = 5 * time.Second, time.Second
 	tests := []struct {
 		seed           uint64
 		faults, pauses time.Duration
 		finalFault     bool
-		cause          string
+		// controls is the program of control hosts; program if empty.
+		controls string
+		cause    string
 	}{
 		{seed: 101, faults: faults},
 		{seed: 2901, faults: briefFaults, pauses: 6 * time.Second, cause: "requests to endpoints that paused were given up"},
 		{seed: 3101, faults: briefFaults, finalFault: true},
+		{seed: 5101, faults: briefFaults, finalFault: true, controls: losingPower},
 		{seed: 3, faults: faults, cause: "stray bytes at the end of the log, left by no write, kept the control host from ever starting again"},
 		{seed: 5, faults: faults, cause: "as seed 3"},
 		{seed: 6, faults: faults, cause: "as seed 3"},
@@ -48,7 +52,7 @@
 			defer func() { <-semaphore }()
 			folder := t.TempDir()
 			report, err := soak.Run(soak.Config{
-				Program: program, Folder: folder, Seed: test.seed, Faults: test.faults, Pauses: test.pauses, FinalFault: test.finalFault,
+				Program: program, ControlProgram: test.controls, Folder: folder, Seed: test.seed, Faults: test.faults, Pauses: test.pauses, FinalFault: test.finalFault,
 				Network:  [2]byte{byte(30 + os.Getpid()%90), byte(4 * i)},
 				Controls: 5, Routers: 2, Endpoints: 4, Callers: 6,
 			})
