--- a/internal/disk/memory_test.go
+++ b/internal/disk/memory_test.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"oleanderramp/internal/disk"
+	"oleanderramp/internal/soak/powerloss"
 )
 
 // memoryFile is a file in memory with the content that survives a crash.
@@ -43,6 +44,13 @@
 	return m.failIn == 0
 }
 
+// kill ends the process that has the folder open. Nothing is lost, and what was not
+// synced is still not.
+func (m *memoryFolder) kill() {
+	m.locked = false
+	m.failIn = 0
+}
+
 // crash discards a random part of what was not synced. choose returns a number
 // from 0 to n-1.
 func (m *memoryFolder) crash(choose func(n int) int) {
@@ -66,26 +74,16 @@
 	}
 	m.files = kept
 	m.durable = maps.Clone(kept)
-	m.locked = false
-	m.failIn = 0
+	m.kill()
 }
 
 // afterCrash returns the synced content, followed by a part of the unsynced
 // content in which some sectors are zeros.
 func (f *memoryFile) afterCrash(choose func(n int) int) []byte {
-	const sector = 512
 	if len(f.content) <= len(f.synced) {
 		return slices.Clone(f.synced)
 	}
-	content := slices.Clone(f.content[:len(f.synced)+choose(len(f.content)-len(f.synced)+1)])
-	for start := len(f.synced); start < len(content); {
-		end := min(len(content), (start/sector+1)*sector)
-		if choose(4) == 0 {
-			clear(content[start:end])
-		}
-		start = end
-	}
-	return content
+	return powerloss.Torn(f.content, len(f.synced), choose)
 }
 
 func (m *memoryFolder) Names() ([]string, error) {
