Answer all companions of a crash after its report

What callers saw: a request that crashed its engine got its final answer before other routers could know it as a suspect. Repeated at once through another daemon it ran beside others there, and a third engine crashed in place of two at most.

Cause: the connections to a crashed engine fail one after another. The first failure reports all requests in flight and waits up to 500 ms until the report is published; the later ones found nothing left to report and did not wait. The crashing request is as likely as any other to be one of the later ones.

Evidence: read from the code while tracing TestCrashingRequestWithoutRetry; not shown to be the cause of its failures, whose logs show a report that took longer than 500 ms.

Now all requests that were in flight at a crash share its report and wait for it, with the same bound. Nothing is reported twice.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -106,10 +106,11 @@
 	return r.queue.RetryAfter(now, t.request.Account.Name)
 }
 
-// release removes the request from the in-flight table and returns its slot.
+// release removes the request from the tables of those in flight and returns its slot.
 func (r *Router) release(t *task, grant *wire.Grant, cost float64, crashed bool) {
 	r.mu.Lock()
 	r.inFlight.remove(grant.GetEndpoint(), t.slotRequest)
+	delete(r.crashReports, t.slotRequest)
 	r.mu.Unlock()
 	r.cfg.Slots.Complete(t.slotRequest, cost, crashed)
 }
@@ -180,9 +181,9 @@
 	if failure.Kind == endpoint.CallerGone {
 		cost = t.request.cost(result.Tokens)
 	}
-	var verdict crashVerdict
+	var report crashReport
 	if failure.Crashed() {
-		verdict = r.handleCrash(t, grant)
+		report = r.handleCrash(t, grant)
 	} else {
 		r.releaseSuspectRun(t)
 	}
@@ -190,7 +191,7 @@
 	// An endpoint that can't be connected to gets no more requests until it
 	// announces itself again.
 	r.release(t, grant, cost, failure.Crashed() || failure.Kind == endpoint.DialFailed)
-	r.publishVerdict(t.request.Service, verdict)
+	report.wait()
 }
 
 // logFailure logs failures that indicate a fault of an endpoint or of the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,7 +43,7 @@
 	Cancel(call endpoint.Call)
 }
 
-// Publisher announces requests that crash endpoints to the fleet.
+// Publisher announces requests that crash endpoints to the fleet. It does not block.
 type Publisher interface {
 	// Quarantine announces a quarantined request. The returned channel is
 	// closed once the entry is published, or no further attempt is made.
@@ -96,8 +96,11 @@
 	retry      *retry.Policy
 	quarantine *quarantine.Table
 	inFlight   inFlight
-	unsent     *unsentAttempts
-	draining   bool
+	// crashReports holds, by request number, the report of the crash of the endpoint
+	// that a request was in flight on, until that request is released.
+	crashReports map[uint64]crashReport
+	unsent       *unsentAttempts
+	draining     bool
 	// active counts the requests in Serve; idle is closed when draining and
 	// active is 0.
 	active int
@@ -111,7 +114,7 @@
 		cfg: cfg, backgroundCtx: ctx, cancelBackground: cancel,
 		queue: queue.New(queue.Config{MaxTotal: cfg.MaxQueued}), quarantine: quarantine.New(quarantine.Config{}),
 		retry:    retry.New(retry.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
-		inFlight: make(inFlight), unsent: newUnsentAttempts(), idle: make(chan struct{}),
+		inFlight: make(inFlight), crashReports: make(map[uint64]crashReport), unsent: newUnsentAttempts(), idle: make(chan struct{}),
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -115,6 +115,13 @@
 	return func(context.Context, endpoint.Sink) (endpoint.Result, error) { return endpoint.Result{}, &failure }
 }
 
+func failsAfter(d time.Duration, failure endpoint.CallError) func(context.Context, endpoint.Sink) (endpoint.Result, error) {
+	return func(context.Context, endpoint.Sink) (endpoint.Result, error) {
+		time.Sleep(d)
+		return endpoint.Result{}, &failure
+	}
+}
+
 func slow(d time.Duration, body string) func(context.Context, endpoint.Sink) (endpoint.Result, error) {
 	return func(ctx context.Context, sink endpoint.Sink) (endpoint.Result, error) {
 		time.Sleep(d)
@@ -182,12 +189,13 @@
 type fakePublisher struct {
 	published []quarantine.Entry
 	suspects  []quarantine.Digest
+	delay     time.Duration
 }
 
 func (f *fakePublisher) Suspect(_ string, digests []quarantine.Digest) <-chan struct{} {
 	f.suspects = append(f.suspects, digests...)
 	done := make(chan struct{})
-	close(done)
+	time.AfterFunc(f.delay, func() { close(done) })
 	return done
 }
 
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -28,34 +28,60 @@
 	}
 }
 
-// crashVerdict holds the requests that a crash made suspect or quarantined.
-type crashVerdict struct {
-	suspects    []quarantine.Digest
-	quarantined []quarantine.Entry
-}
+// crashReport holds the publications of one crash. Each channel is closed once the
+// other routers are informed.
+type crashReport []<-chan struct{}
 
 // handleCrash marks the requests in flight on the endpoint as suspect, or
-// quarantines them.
-func (r *Router) handleCrash(t *task, grant *wire.Grant) crashVerdict {
+// quarantines them. It returns the report of the crash, which is the same for all
+// of these requests.
+func (r *Router) handleCrash(t *task, grant *wire.Grant) crashReport {
 	now := time.Now()
 	r.mu.Lock()
-	// The connections to a crashed endpoint fail one after another. The first
-	// failure handles all requests in flight, so that one crash is counted
-	// once.
-	var digests []quarantine.Digest
-	if _, first := r.inFlight[grant.GetEndpoint()][t.slotRequest]; first {
-		digests = slices.Collect(maps.Values(r.inFlight[grant.GetEndpoint()]))
-		delete(r.inFlight, grant.GetEndpoint())
-	}
 	t.reserved = false
+	requests := r.inFlight[grant.GetEndpoint()]
+	if _, first := requests[t.slotRequest]; !first {
+		// The connections to a crashed endpoint fail one after another. The first
+		// failure handled all requests in flight, so that one crash is counted
+		// once.
+		report := r.crashReports[t.slotRequest]
+		r.mu.Unlock()
+		return report
+	}
+	digests := slices.Collect(maps.Values(requests))
+	delete(r.inFlight, grant.GetEndpoint())
 	entries := r.quarantine.RecordCrash(now, digests)
+	report := r.publishCrash(t.request.Service, digests, entries)
+	for number := range requests {
+		r.crashReports[number] = report
+	}
 	r.mu.Unlock()
-	if len(digests) == 0 {
-		return crashVerdict{}
+	r.logCrash(t, grant, len(digests), entries)
+	return report
+}
+
+// publishCrash announces suspect and quarantined requests to the fleet. The caller
+// holds r.mu.
+func (r *Router) publishCrash(service string, digests []quarantine.Digest, entries []quarantine.Entry) crashReport {
+	suspects := slices.DeleteFunc(digests, func(d quarantine.Digest) bool {
+		return slices.ContainsFunc(entries, func(entry quarantine.Entry) bool { return entry.Digest == d })
+	})
+	var report crashReport
+	if len(suspects) > 0 {
+		report = append(report, r.cfg.Publisher.Suspect(service, suspects))
 	}
+	for _, entry := range entries {
+		report = append(report, r.cfg.Publisher.Quarantine(service, entry))
+	}
+	return report
+}
+
+// logCrash logs and counts the crash of an endpoint with this number of requests in
+// flight.
+func (r *Router) logCrash(t *task, grant *wire.Grant, requests int, entries []quarantine.Entry) {
 	r.cfg.Metrics.CountCrash(t.request.Service)
 	event.EndpointCrashed.Log(r.cfg.Log, event.Fields{
-		"endpoint": grant.GetEndpoint(), "service": t.request.Service, "requests": len(digests),
+		"endpoint": grant.GetEndpoint(), "service": t.request.Service, "requests": requests,
 	})
 	event.RequestSuspected.Log(r.cfg.Log, event.Fields{
 		"request": t.request.ID, "endpoint": grant.GetEndpoint(), "digest": t.contentDigest.String(),
@@ -65,10 +91,6 @@
 			"service": t.request.Service, "digest": entry.Digest.String(), "until": entry.Until,
 		})
 	}
-	suspects := slices.DeleteFunc(digests, func(d quarantine.Digest) bool {
-		return slices.ContainsFunc(entries, func(entry quarantine.Entry) bool { return entry.Digest == d })
-	})
-	return crashVerdict{suspects: suspects, quarantined: entries}
 }
 
 // publishTimeout bounds how long the response to a request that crashes
@@ -76,17 +98,10 @@
 // through another daemon finds the request suspect or quarantined.
 const publishTimeout = 500 * time.Millisecond
 
-// publishVerdict announces suspect and quarantined requests to the fleet.
-func (r *Router) publishVerdict(service string, verdict crashVerdict) {
-	var published []<-chan struct{}
-	if len(verdict.suspects) > 0 {
-		published = append(published, r.cfg.Publisher.Suspect(service, verdict.suspects))
-	}
-	for _, entry := range verdict.quarantined {
-		published = append(published, r.cfg.Publisher.Quarantine(service, entry))
-	}
+// wait waits until the other routers are informed, for publishTimeout at most.
+func (c crashReport) wait() {
 	timeout := time.After(publishTimeout)
-	for _, done := range published {
+	for _, done := range c {
 		select {
 		case <-done:
 		case <-timeout:
