Say in an answer that the report of its crash is unconfirmed

Cause: a final answer waits up to 500 ms for the report of its crash. When the quorum takes longer, the answer went out as if the report were known, with a Retry-After of 1 s, or with the 10 minutes of a quarantine that no other daemon knew. A publication that failed, was dropped, or did not reach a replica within 300 ms also counted as done.

A publication now ends confirmed or not; confirmed means that all replicas hold it. The final answer of a request whose report is not confirmed within the same 500 ms says so, and its Retry-After is at least 10 s, which is the limit of the publication. No answer is held back longer than before.

The test is changed: it repeats at once, as before, unless an answer says unconfirmed; then it waits those 10 s.

--- a/internal/daemon/recordstore.go
+++ b/internal/daemon/recordstore.go
@@ -18,12 +18,9 @@
 // incarnation.
 const codeProcessAbandoned = "process_abandoned"
 
-// Timing of the publication of a quarantine.
-const (
-	publishTimeout = 10 * time.Second
-	// replicationWaitTimeout limits the wait for the slowest replica.
-	replicationWaitTimeout = 300 * time.Millisecond
-)
+// replicationWaitTimeout limits the wait for the slowest replica when a crash is
+// published.
+const replicationWaitTimeout = 300 * time.Millisecond
 
 // quorumClient executes commands and queries on the replicated state.
 type quorumClient interface {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -191,7 +191,9 @@
 	// An endpoint that can't be connected to gets no more requests until it
 	// announces itself again.
 	r.release(t, grant, cost, failure.Crashed() || failure.Kind == endpoint.DialFailed)
-	report.wait()
+	if len(report) > 0 {
+		t.crashUnconfirmed = !report.wait()
+	}
 }
 
 // logFailure logs failures that indicate a fault of an endpoint or of the
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -45,11 +45,10 @@
 
 // Publisher announces requests that crash endpoints to the fleet. It does not block.
 type Publisher interface {
-	// Quarantine announces a quarantined request. The returned channel is
-	// closed once the entry is published, or no further attempt is made.
-	Quarantine(service string, entry quarantine.Entry) <-chan struct{}
-	// Suspect does the same for the digests that were in flight at a crash.
-	Suspect(service string, digests []quarantine.Digest) <-chan struct{}
+	// Quarantine announces a quarantined request.
+	Quarantine(service string, entry quarantine.Entry) *Publication
+	// Suspect announces the digests that were in flight at a crash.
+	Suspect(service string, digests []quarantine.Digest) *Publication
 }
 
 // Metrics records metrics of requests.
@@ -134,6 +133,9 @@
 	// reserved is true while this task holds the only concurrent run of a
 	// suspect.
 	reserved bool
+	// crashUnconfirmed is true if the request was in flight at a crash of which other
+	// routers may not know yet.
+	crashUnconfirmed bool
 	// recorded is true when the at-most-once record was begun before a slot was
 	// granted.
 	recorded bool
@@ -175,6 +177,7 @@
 	} else {
 		err = r.serveAtMostOnce(ctx, t, sink)
 	}
+	err = t.withUnconfirmedCrash(err)
 	r.reportEnd(request, err)
 	return err
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -189,22 +189,27 @@
 type fakePublisher struct {
 	published []quarantine.Entry
 	suspects  []quarantine.Digest
-	delay     time.Duration
+	// delay is how long a publication takes; failing ones end without confirmation.
+	delay   time.Duration
+	failing bool
 }
 
-func (f *fakePublisher) Suspect(_ string, digests []quarantine.Digest) <-chan struct{} {
+func (f *fakePublisher) Suspect(_ string, digests []quarantine.Digest) *router.Publication {
 	f.suspects = append(f.suspects, digests...)
-	done := make(chan struct{})
-	time.AfterFunc(f.delay, func() { close(done) })
-	return done
+	return f.publication()
 }
 
-func (f *fakePublisher) Quarantine(_ string, entry quarantine.Entry) <-chan struct{} {
+func (f *fakePublisher) Quarantine(_ string, entry quarantine.Entry) *router.Publication {
 	f.published = append(f.published, entry)
-	done := make(chan struct{})
-	close(done)
-	return done
+	return f.publication()
 }
+
+func (f *fakePublisher) publication() *router.Publication {
+	publication := router.NewPublication()
+	time.AfterFunc(f.delay, func() { publication.End(!f.failing) })
+	return publication
+}
+
 func (*fakePublisher) RequestEnded(string, string, string, time.Duration) {}
 func (*fakePublisher) ObserveSlotWait(string, time.Duration)              {}
 func (*fakePublisher) CountRetry(string)                                  {}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -28,9 +29,34 @@
 	}
 }
 
-// crashReport holds the publications of one crash. Each channel is closed once the
-// other routers are informed.
-type crashReport []<-chan struct{}
+// ReportTimeout limits the publication of a crash to the fleet.
+const ReportTimeout = 10 * time.Second
+
+// Publication is an announcement to the fleet. It is safe for concurrent use.
+type Publication struct {
+	done      chan struct{}
+	confirmed bool
+}
+
+// NewPublication returns a publication that has not ended.
+func NewPublication() *Publication { return &Publication{done: make(chan struct{})} }
+
+// End ends the publication, which must not have ended before. confirmed means that
+// the fleet knows the announcement; otherwise no further attempt is made.
+func (p *Publication) End(confirmed bool) {
+	p.confirmed = confirmed
+	close(p.done)
+}
+
+// Done returns a channel that is closed when the publication has ended.
+func (p *Publication) Done() <-chan struct{} { return p.done }
+
+// Confirmed reports whether the fleet knows the announcement. It must only be called
+// after the publication has ended.
+func (p *Publication) Confirmed() bool { return p.confirmed }
+
+// crashReport holds the publications of one crash.
+type crashReport []*Publication
 
 // handleCrash marks the requests in flight on the endpoint as suspect, or
 // quarantines them. It returns the report of the crash, which is the same for all
@@ -98,16 +124,33 @@
 // through another daemon finds the request suspect or quarantined.
 const publishTimeout = 500 * time.Millisecond
 
-// wait waits until the other routers are informed, for publishTimeout at most.
-func (c crashReport) wait() {
+// wait waits until the other routers are informed, for publishTimeout at most. It
+// reports whether they are.
+func (c crashReport) wait() bool {
 	timeout := time.After(publishTimeout)
-	for _, done := range c {
+	confirmed := true
+	for _, publication := range c {
 		select {
-		case <-done:
+		case <-publication.Done():
+			confirmed = confirmed && publication.Confirmed()
 		case <-timeout:
-			return
+			return false
 		}
 	}
+	return confirmed
+}
+
+// withUnconfirmedCrash returns the final error of a request of which other routers may
+// not know yet that it was in flight at a crash. Its caller is asked to come back when
+// the report of the crash has ended, as an earlier repeat at another router would not
+// run alone. Other errors stay, and so does one after which a retry does not help.
+func (t *task) withUnconfirmedCrash(err error) error {
+	var final *Error
+	if !t.crashUnconfirmed || !errors.As(err, &final) || final.RetryAfter() == 0 {
+		return err
+	}
+	return NewError(final.Code(), final.Outcome(), max(final.RetryAfter(), ReportTimeout),
+		"%s; its report as a request that may crash endpoints is unconfirmed", final.Message())
 }
 
 // clearSuspicion removes the suspicion from a request that completed.
--- a/sessions/serving_test.go
+++ b/sessions/serving_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -332,8 +334,9 @@
 const crashExitCode = 70
 
 // TestCrashingRequest repeatedly sends a request that crashes each engine that
-// runs it through all daemons. At most two engines may crash, further repeats
-// must be refused as not run, and the other requests must be served.
+// runs it through all daemons: at once, unless an answer says that the report of the
+// crash is unconfirmed. At most two engines may crash, further repeats must be refused
+// as not run, and the other requests must be served.
 func TestCrashingRequest(t *testing.T) { testCrashingRequest(t, 0) }
 
 // TestCrashingRequestWithoutRetry does the same with routers that make only one
@@ -369,13 +372,16 @@
 	}
 	for attempt := range 3 * f.size {
 		n := fmt.Sprint(1 + attempt%f.size)
+		start := time.Now()
 		response, err := sendRequest(f, []string{n, "exhibitor-01", "POST", "/v1/chat/completions", "Oleanderramp-Kind=crashing",
 			`{"model":"standin","max_tokens":4,"messages":[{"role":"user","content":"poison"}]}`})
 		c.Assert(err, qt.IsNil)
-		c.Check(response.Body.Close(), qt.IsNil)
+		body, err := io.ReadAll(response.Body)
+		c.Check(errors.Join(err, response.Body.Close()), qt.IsNil)
 		outcome := response.Header.Get("Oleanderramp-Outcome")
 		c.Check(outcome, qt.Equals, map[bool]string{true: "failed", false: "not_run"}[attempt < runs], qt.Commentf("attempt %d", attempt))
 		c.Check(response.Header.Get("Retry-After"), qt.Not(qt.Equals), "", qt.Commentf("attempt %d", attempt))
+		awaitCrashReport(c, response.Header, string(body), time.Since(start))
 	}
 	close(l.stopped)
 	l.clients.Wait()
@@ -383,6 +389,23 @@
 	c.Check(f.crashedStandins() <= 2, qt.IsTrue, qt.Commentf("%d engines crashed", f.crashedStandins()))
 }
 
+// awaitCrashReport waits as long as an answer asks whose report of a crash is
+// unconfirmed. Such an answer must have waited for the slowest replica, or for the
+// report.
+func awaitCrashReport(c *qt.C, header http.Header, body string, took time.Duration) {
+	c.Helper()
+	if !strings.Contains(body, "unconfirmed") {
+		return
+	}
+	const minWait, reportTimeout = 300 * time.Millisecond, 10 * time.Second
+	c.Logf("a report was unconfirmed after %v: %s", took, body)
+	c.Check(took >= minWait, qt.IsTrue, qt.Commentf("unconfirmed after %v", took))
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	c.Check(err, qt.IsNil)
+	c.Check(seconds >= int(reportTimeout.Seconds()), qt.IsTrue, qt.Commentf("Retry-After %d", seconds))
+	time.Sleep(reportTimeout)
+}
+
 // served returns how many requests stand-in i has started.
 func (f *fleet) served(c *qt.C, i int) int {
 	c.Helper()
