--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -43,13 +43,12 @@
 	Cancel(call endpoint.Call)
 }
 
-// Publisher announces requests that crash endpoints to the fleet.
+// Publisher announces requests that crash endpoints to the fleet. It does not block.
 type Publisher interface {
-	// Quarantine announces a quarantined request. The returned channel is
-	// closed once the entry is published, or no further attempt is made.
-	Quarantine(service string, entry quarantine.Entry) <-chan struct{}
-	// Suspect does the same for the digests that were in flight at a crash.
-	Suspect(service string, digests []quarantine.Digest) <-chan struct{}
+	// Quarantine announces a quarantined request.
+	Quarantine(service string, entry quarantine.Entry) *Publication
+	// Suspect announces the digests that were in flight at a crash.
+	Suspect(service string, digests []quarantine.Digest) *Publication
 }
 
 // Metrics records metrics of requests.
@@ -96,8 +95,11 @@
 	retry      *retry.Policy
 	quarantine *quarantine.Table
 	inFlight   inFlight
-	unsent     *unsentAttempts
-	draining   bool
+	// crashReports holds, by request number, the report of the crash of the endpoint
+	// that a request was in flight on, until that request is released.
+	crashReports map[uint64]crashReport
+	unsent       *unsentAttempts
+	draining     bool
 	// active counts the requests in Serve; idle is closed when draining and
 	// active is 0.
 	active int
@@ -111,7 +113,7 @@
 		cfg: cfg, backgroundCtx: ctx, cancelBackground: cancel,
 		queue: queue.New(queue.Config{MaxTotal: cfg.MaxQueued}), quarantine: quarantine.New(quarantine.Config{}),
 		retry:    retry.New(retry.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
-		inFlight: make(inFlight), unsent: newUnsentAttempts(), idle: make(chan struct{}),
+		inFlight: make(inFlight), crashReports: make(map[uint64]crashReport), unsent: newUnsentAttempts(), idle: make(chan struct{}),
 	}
 }
 
@@ -131,6 +133,9 @@
 	// reserved is true while this task holds the only concurrent run of a
 	// suspect.
 	reserved bool
+	// crashUnconfirmed is true if the request was in flight at a crash of which other
+	// routers may not know yet.
+	crashUnconfirmed bool
 	// recorded is true when the at-most-once record was begun before a slot was
 	// granted.
 	recorded bool
@@ -172,6 +177,7 @@
 	} else {
 		err = r.serveAtMostOnce(ctx, t, sink)
 	}
+	err = t.withUnconfirmedCrash(err)
 	r.reportEnd(request, err)
 	return err
 }
