Close a part of the connections unread while requests are shed

Their two routers each read and refused about 1,000 requests a second as overloaded, served 60 to 96 in one second, and none in the next, with a wait of 35 to 250 ms.

Cause: from 10 to 50 ms of lag a router reads all requests and sheds those of the flood, which costs more than its processor time, and beyond that it closes all unread. The lag is known 100 to 200 ms late, so that it went from one to the other.

Now each request that is shed lowers the accepted part of new connections by 1/32, and each that is placed raises it; without either it returns within a second or so. A router thus reads about one request that it sheds for each that it serves. The listener decides on each connection once (TestEachConnectionIsDecidedOnOnce).

--- /dev/null
+++ b/internal/edge/acceptance_test.go
@@ -0,0 +1,128 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// routerModel is a router with a fraction of a core, in virtual time, whose callers send
+// far more requests than it can serve.
+type routerModel struct {
+	forwarder *Forwarder
+	// accepts reports whether to accept the next connection.
+	accepts func(now time.Time) bool
+	// offered is the number of connections per second, each with one request.
+	offered int
+
+	// queue holds the work in the order in which it arrived. waits is what new work
+	// waits, for each step.
+	queue  []modelWork
+	waits  []time.Duration
+	served int
+}
+
+// modelWork is work that takes processor time.
+type modelWork struct {
+	left time.Duration
+	// read is set for the reading of a request, which is then shed or served.
+	read bool
+}
+
+const (
+	modelStep = time.Millisecond
+	// modelCore is the fraction of a core that the router has.
+	modelCore = 0.2
+	// The processor time to close a connection unread, to read a request (and refuse it),
+	// and to serve it.
+	modelCloseTime = 15 * time.Microsecond
+	modelReadTime  = 300 * time.Microsecond
+	modelServeTime = 1200 * time.Microsecond
+	// modelLagDelay is how long ago the lag was that the router knows.
+	modelLagDelay = 100 * time.Millisecond
+)
+
+func newRouterModel(offered int) *routerModel {
+	m := &routerModel{offered: offered}
+	m.forwarder = New(Config{Lag: m.lag, UnsyncedFor: func() time.Duration { return 0 }})
+	m.accepts = m.forwarder.AcceptsConnection
+	return m
+}
+
+// lag returns what work waited modelLagDelay ago.
+func (m *routerModel) lag() time.Duration {
+	known := len(m.waits) - 1 - int(modelLagDelay/modelStep)
+	if known < 0 {
+		return 0
+	}
+	return m.waits[known]
+}
+
+// run runs the model.
+func (m *routerModel) run(start time.Time, duration time.Duration) {
+	for at := time.Duration(0); at < duration; at += modelStep {
+		now := start.Add(at)
+		before := int(at.Seconds() * float64(m.offered))
+		for range int((at+modelStep).Seconds()*float64(m.offered)) - before {
+			m.arrive(now)
+		}
+		m.work(now)
+		backlog := time.Duration(0)
+		for _, w := range m.queue {
+			backlog += w.left
+		}
+		m.waits = append(m.waits, time.Duration(float64(backlog)/modelCore))
+	}
+}
+
+func (m *routerModel) arrive(now time.Time) {
+	if m.accepts(now) {
+		m.queue = append(m.queue, modelWork{left: modelReadTime, read: true})
+		return
+	}
+	m.queue = append(m.queue, modelWork{left: modelCloseTime})
+}
+
+// work does the work of one step.
+func (m *routerModel) work(now time.Time) {
+	left := time.Duration(float64(modelStep) * modelCore)
+	for left > 0 && len(m.queue) > 0 {
+		done := min(left, m.queue[0].left)
+		left -= done
+		m.queue[0].left -= done
+		if m.queue[0].left > 0 {
+			return
+		}
+		read := m.queue[0].read
+		m.queue = m.queue[1:]
+		if !read || m.forwarder.rejectEarly(now, &task{}, false) != nil {
+			continue
+		}
+		m.served++
+		m.forwarder.acceptance.recordPlaced(now)
+		m.queue = append(m.queue, modelWork{left: modelServeTime})
+	}
+}
+
+// TestFloodedRouterServesWhatItHasTimeFor guards against a router that spends its
+// processor time on reading requests that it sheds, and by turns takes too many requests
+// and none, so that an account whose callers all reach it gets far less than its share.
+func TestFloodedRouterServesWhatItHasTimeFor(t *testing.T) {
+	const (
+		seconds = 20
+		// minUsed is the least part of the time left beside closing connections that
+		// serving must get.
+		minUsed = 0.6
+	)
+	for _, offered := range []int{300, 1000, 2000, 4000} {
+		c := qt.New(t)
+		m := newRouterModel(offered)
+		m.run(time.Unix(1_000_000, 0), seconds*time.Second)
+		available := modelCore - modelCloseTime.Seconds()*float64(offered)
+		possible := available / (modelReadTime + modelServeTime).Seconds() * seconds
+		used := float64(m.served) / possible
+		t.Logf("%d requests per second: %d served of %.0f that the processor time allows, lag %v", offered, m.served, possible, m.lag())
+		c.Check(used >= minUsed, qt.IsTrue, qt.Commentf("%d requests per second: %.2f of what the processor time allows is served", offered, used))
+	}
+}
--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -66,6 +66,7 @@
 		return placed, refused
 	}
 	t.usePlacement(time.Now(), placed)
+	f.acceptance.recordPlaced(t.placedAt)
 	f.logPlacement(t, placed, len(t.reached)+1)
 	t.placementFields = nil
 	return placed, nil
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -60,6 +60,8 @@
 	streams  *streamTracker
 	// shedLines limits the log lines about requests refused because of overload.
 	shedLines lineLimit
+	// acceptance is the part of the connections that is accepted while requests are shed.
+	acceptance acceptance
 
 	// mu guards the budget of each service.
 	mu     sync.Mutex
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -19,7 +19,7 @@
 	a := &answer{w: w, control: http.NewResponseController(w), closeConnection: f.draining.Load()}
 	t := &task{request: request, answer: a}
 	resolveFailure := f.resolve(t)
-	failed := f.rejectEarly(t, resolveFailure == nil)
+	failed := f.rejectEarly(time.Now(), t, resolveFailure == nil)
 	if failed != nil {
 		// Closing a connection with unread body data would reset it before the
 		// caller reads the answer.
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -29,8 +29,7 @@
 // next one reaches another daemon. Tokens refused because of overload still
 // count as asked for, so that the account counts as one that wants more than it
 // gets.
-func (f *Forwarder) rejectEarly(t *task, resolved bool) *failure {
-	now := time.Now()
+func (f *Forwarder) rejectEarly(now time.Time, t *task, resolved bool) *failure {
 	if f.refusing.Load() {
 		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
 	}
@@ -39,6 +38,7 @@
 		return nil
 	}
 	t.overload = reason
+	f.acceptance.recordShed(now)
 	if resolved {
 		f.cfg.Admission.recordShed(now, t.account, t.tokens())
 	}
@@ -67,6 +67,7 @@
 	}
 	line["overload"], line["left_out"] = string(t.overload), leftOut
 	line["lag_ms"], line["standing_lag_ms"] = f.cfg.Lag().Milliseconds(), f.cfg.StandingLag().Milliseconds()
+	line["accepted_fraction"] = f.acceptance.fraction(now)
 	line["unsynced_ms"] = f.cfg.UnsyncedFor().Milliseconds()
 	event.RequestRefused.Log(f.cfg.Log, line)
 }
@@ -103,6 +104,12 @@
 // overloaded.
 func (f *Forwarder) Overwhelmed() bool { return f.lag() >= shedAllLag || f.starved() }
 
+// AcceptsConnection reports whether to accept the next connection. While this daemon sheds
+// requests, it closes a part of the connections unread, and while Overwhelmed all.
+func (f *Forwarder) AcceptsConnection(now time.Time) bool {
+	return !f.Overwhelmed() && f.acceptance.next(now)
+}
+
 // Overloaded reports whether this daemon is refusing most of its requests.
 func (f *Forwarder) Overloaded() bool { return f.lag() >= (shedStartLag+shedAllLag)/2 }
 
--- a/internal/site/closeunread_test.go
+++ b/internal/site/closeunread_test.go
@@ -62,3 +62,30 @@
 	<-done
 	c.Check(open.rejected.Load(), qt.Equals, int64(callers))
 }
+
+// TestEachConnectionIsDecidedOnOnce guards against a listener that asks twice about a
+// connection and so closes far more than the share that is to be closed.
+func TestEachConnectionIsDecidedOnOnce(t *testing.T) {
+	const callers, acceptedOf = 40, 4
+	c := qt.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	for range callers {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+	}
+	asked := 0
+	open := newConnections(0, 0, func() time.Duration { return 0 }, func() bool {
+		asked++
+		return asked%acceptedOf != 0
+	})
+	listener := &boundedListener{Listener: inner, open: open}
+	for range callers / acceptedOf {
+		conn, err := listener.Accept()
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+	}
+	c.Check(open.rejected.Load(), qt.Equals, int64(callers-callers/acceptedOf))
+	c.Assert(inner.Close(), qt.IsNil)
+}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -170,7 +170,7 @@
 			return table.Limits().IdleTimeout
 		}
 		return 0
-	}, func() bool { return r.forwarder.Overwhelmed() })
+	}, func() bool { return !r.forwarder.AcceptsConnection(time.Now()) })
 	r.forwarder = edge.New(edge.Config{
 		TooManyConnections: r.conns.overSoftLimit, CallerDisconnected: callerDisconnected, Lag: r.lag.value, StandingLag: r.StandingLag, UnsyncedFor: r.Unsynced, MaxActive: maxActiveRequests(d.settings),
 		Codec: d.adapter, Endpoints: r.client, Tables: r, Admission: r.admission, Log: d.log,
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -97,22 +97,28 @@
 }
 
 func (l *boundedListener) Accept() (net.Conn, error) {
+	// accept is set once the next connection is to be accepted. Each is decided on once.
+	accept := false
+	rejectNext := func() bool {
+		accept = !l.rejects()
+		return !accept
+	}
 	for {
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
 		}
-		if !l.rejects() {
+		if accept || !l.rejects() {
 			return newAcceptedConn(time.Now(), conn, l.open), nil
 		}
 		l.open.rejected.Add(1)
 		_ = conn.Close() // The caller may have disconnected.
-		l.open.rejected.Add(closeQueued(l.Listener, l.rejects))
+		l.open.rejected.Add(closeQueued(l.Listener, rejectNext))
 	}
 }
 
 // rejects reports whether new connections are closed.
-func (l *boundedListener) rejects() bool { return l.open.full() || l.open.overwhelmed() }
+func (l *boundedListener) rejects() bool { return l.open.full() || l.open.overloaded() }
 
 // connections tracks the open connections of a server and limits how long they
 // may be idle. It is safe for concurrent use.
@@ -124,8 +130,9 @@
 	// configuredIdleTimeout returns how long a connection may be idle; 0 if
 	// this is not configured.
 	configuredIdleTimeout func() time.Duration
-	// overwhelmed reports whether there is no processor time to read further requests.
-	overwhelmed func() bool
+	// overloaded reports whether there is no processor time to read the request of the
+	// next connection. It is asked once for each.
+	overloaded func() bool
 
 	// rejected counts the connections closed on arrival.
 	rejected atomic.Int64
@@ -136,9 +143,9 @@
 	open map[net.Conn]struct{}
 }
 
-func newConnections(softLimit, hardLimit int, idleTimeout func() time.Duration, overwhelmed func() bool) *connections {
+func newConnections(softLimit, hardLimit int, idleTimeout func() time.Duration, overloaded func() bool) *connections {
 	return &connections{
-		softLimit: softLimit, hardLimit: hardLimit, configuredIdleTimeout: idleTimeout, overwhelmed: overwhelmed, open: make(map[net.Conn]struct{}),
+		softLimit: softLimit, hardLimit: hardLimit, configuredIdleTimeout: idleTimeout, overloaded: overloaded, open: make(map[net.Conn]struct{}),
 	}
 }
 
