--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -19,7 +19,7 @@
 	a := &answer{w: w, control: http.NewResponseController(w), draining: f.draining.Load}
 	t := &task{request: request, answer: a}
 	resolveFailure := f.resolve(t)
-	failed := f.rejectEarly(t, resolveFailure == nil)
+	failed := f.rejectEarly(time.Now(), t, resolveFailure == nil)
 	a.closeConnection = a.closeConnection || failed != nil
 	if failed == nil {
 		failed = resolveFailure
