Count what is closed unread as asked for

A router that closes a part of the connections unread counted only the requests that it read as asked for. An account that floods such routers could so count as one that asks for less than its level: others then get what it lacks, and their lead over it is not bounded.

Each request that is shed now stands for those whose connections are closed unread, too: its tokens count as asked for and shed, divided by the accepted fraction. What a router closes while it accepts none at all is not estimated.

--- a/internal/edge/acceptance_test.go
+++ b/internal/edge/acceptance_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/internal/balance"
 )
 
 // routerModel is a router with a fraction of a core, in virtual time, whose callers send
@@ -126,3 +128,34 @@
 		c.Check(used >= minUsed, qt.IsTrue, qt.Commentf("%d requests per second: %.2f of what the processor time allows is served", offered, used))
 	}
 }
+
+// TestClosedConnectionsCountAsAsked guards against an account that floods a router and
+// counts as one that asks for little, since the router closes most of its connections
+// unread: other accounts then get what it lacks to its share.
+func TestClosedConnectionsCountAsAsked(t *testing.T) {
+	const (
+		offered, tokens = 5000, 1000
+		// tolerance is the part by which the estimate may be off.
+		tolerance = 0.2
+	)
+	c := qt.New(t)
+	now := time.Now()
+	admission := newTestAdmission(c, 4, 1000)
+	f := New(Config{Admission: admission, Lag: func() time.Duration { return shedAllLag - 1 }, UnsyncedFor: func() time.Duration { return 0 }})
+	flood := func() *task {
+		return &task{account: "flood", request: &Request{Prompt: balance.Prompt{Tokens: tokens}}}
+	}
+	admission.recordShed(now, "flood", 10_000) // It floods from the beginning.
+	read := 0
+	for range offered {
+		if f.AcceptsConnection(now) {
+			read++
+			c.Assert(f.rejectEarly(now, flood(), true), qt.IsNotNil)
+		}
+	}
+	c.Check(read < offered/4, qt.IsTrue, qt.Commentf("%d of %d requests are read", read, offered))
+	got := admission.share(now, "flood")
+	part := got.Asked / (offered * tokens)
+	c.Check(part > 1-tolerance && part < 1+tolerance, qt.IsTrue, qt.Commentf("%.2f of the tokens count as asked for", part))
+	c.Check(got.Shed, qt.Equals, got.Asked)
+}
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -28,7 +28,7 @@
 // shutting down or overloaded. The connection is closed, so that the caller's
 // next one reaches another daemon. Tokens refused because of overload still
 // count as asked for, so that the account counts as one that wants more than it
-// gets.
+// gets. A request stands for those whose connections are closed unread, too.
 func (f *Forwarder) rejectEarly(now time.Time, t *task, resolved bool) *failure {
 	if f.refusing.Load() {
 		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
@@ -38,10 +38,10 @@
 		return nil
 	}
 	t.overload = reason
-	f.acceptance.recordShed(now)
 	if resolved {
-		f.cfg.Admission.recordShed(now, t.account, t.tokens())
+		f.cfg.Admission.recordShed(now, t.account, t.tokens()/f.acceptance.fraction(now))
 	}
+	f.acceptance.recordShed(now)
 	return &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: drainingRetryAfter, message: "the daemon is overloaded"}
 }
 
