Move the tracking of connections out of internal/site

internal/site closes idle connections itself, since net/http counts a connection as idle on which a request has begun to arrive (docs/incidents/lost.md). The listeners of the product's own interface have the same fault (TestShutdownWaitsForHeader). Both are to share one mend, so it moves to internal/httpserver: acceptedConn, Connections, the listener that closes what is beyond the limits, and Server with Drain and Close.

The site's behaviour is unchanged. It no longer offers TCPConn.ReadFrom, which went past Write and so past the note that an answer was begun.

--- a/internal/site/acceptedconn.go
+++ b/internal/httpserver/acceptedconn.go
@@ -1,10 +1,11 @@
-package site
+package httpserver
 
 import (
 	"errors"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"oleanderramp/internal/edge"
@@ -15,14 +16,19 @@
 	// idleUntil returns until when a connection may stay open that is idle
 	// since the given time. first is true before its first request.
 	idleUntil(since time.Time, first bool) time.Time
+	// headerTimeout returns how long the header of a request that has begun to
+	// arrive may take.
+	headerTimeout() time.Duration
 }
 
 // acceptedConn is a connection that a server has accepted. While it is idle, its
 // reader alone decides when it is closed, as no other goroutine knows whether a
 // request has begun to arrive. It also remembers how it ended.
 type acceptedConn struct {
-	*net.TCPConn
-	limit idleLimit
+	net.Conn
+	// socket is the TCP connection, which is below Conn with TLS.
+	socket syscall.Conn
+	limit  idleLimit
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -41,16 +47,31 @@
 	readErr, writeErr error
 }
 
-// newAcceptedConn returns the connection as its server uses it. Only TCP
-// connections, which are all that listeners accept, are wrapped.
+// newAcceptedConn returns the connection as its server uses it. Only connections
+// with a socket, which are all that listeners accept, are wrapped.
 func newAcceptedConn(now time.Time, conn net.Conn, limit idleLimit) net.Conn {
-	tcp, ok := conn.(*net.TCPConn)
+	socket, ok := conn.(syscall.Conn)
 	if !ok {
 		return conn
 	}
-	return &acceptedConn{TCPConn: tcp, limit: limit, idleSince: now, first: true}
+	return &acceptedConn{Conn: conn, socket: socket, limit: limit, idleSince: now, first: true}
 }
 
+// SyscallConn returns the socket.
+func (c *acceptedConn) SyscallConn() (syscall.RawConn, error) { return c.socket.SyscallConn() }
+
+// CloseWrite closes the sending side, which http.Server does before it closes a
+// connection with unread bytes.
+func (c *acceptedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// hasArrived reports whether bytes have arrived that were not read yet.
+func (c *acceptedConn) hasArrived() bool { return hasUnread(c.socket) }
+
 // setIdle marks the connection as idle since the end of a request.
 func (c *acceptedConn) setIdle(now time.Time) {
 	c.mu.Lock()
@@ -85,13 +106,13 @@
 // once the connection has been idle for too long and nothing has arrived.
 func (c *acceptedConn) Read(p []byte) (int, error) {
 	if !c.isIdle() {
-		n, err := c.TCPConn.Read(p)
+		n, err := c.Conn.Read(p)
 		c.endRead(time.Now(), n, err)
 		return n, err
 	}
 	for {
 		c.setIdleDeadline(time.Now())
-		n, err := c.TCPConn.Read(p)
+		n, err := c.Conn.Read(p)
 		now := time.Now()
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.expired(now) {
 			c.endRead(now, n, err)
@@ -106,8 +127,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	until := c.idleUntil()
-	if !until.After(now) && hasUnread(c.TCPConn) {
-		until = now.Add(readHeaderTimeout)
+	if !until.After(now) && c.hasArrived() {
+		until = now.Add(c.limit.headerTimeout())
 	}
 	c.waiting = true
 	_ = c.SetReadDeadline(until) // On a closed connection the read fails.
@@ -118,13 +139,13 @@
 func (c *acceptedConn) expired(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.idleUntil().After(now) && !hasUnread(c.TCPConn)
+	return !c.idleUntil().After(now) && !c.hasArrived()
 }
 
 // idleUntil returns until when the idle connection may stay open. The caller
 // holds c.mu.
 func (c *acceptedConn) idleUntil() time.Time {
-	until, header := c.limit.idleUntil(c.idleSince, c.first), c.idleSince.Add(readHeaderTimeout)
+	until, header := c.limit.idleUntil(c.idleSince, c.first), c.idleSince.Add(c.limit.headerTimeout())
 	if c.begun && until.Before(header) {
 		return header
 	}
@@ -140,14 +161,14 @@
 	c.readLast = c.readLast || n > 0
 	if n > 0 && !c.idleSince.IsZero() {
 		c.idleSince = time.Time{}
-		_ = c.SetReadDeadline(now.Add(readHeaderTimeout)) // On a closed connection the next read fails.
+		_ = c.SetReadDeadline(now.Add(c.limit.headerTimeout())) // On a closed connection the next read fails.
 	}
 }
 
 // Write writes to the connection.
 func (c *acceptedConn) Write(p []byte) (int, error) {
 	c.startWrite()
-	n, err := c.TCPConn.Write(p)
+	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.writeErr = err
--- a/internal/site/acceptedconn_test.go
+++ b/internal/httpserver/acceptedconn_test.go
@@ -1,4 +1,4 @@
-package site
+package httpserver
 
 import (
 	"fmt"
--- a/internal/site/idlelimit_test.go
+++ b/internal/httpserver/idlelimit_test.go
@@ -1,4 +1,4 @@
-package site
+package httpserver
 
 import (
 	"io"
@@ -43,7 +43,7 @@
 	timeout.Store(int64(time.Hour))
 	conn := dialServer(c, address)
 	post(c, conn, "first")
-	for open.busy() > 0 {
+	for open.Busy() > 0 {
 		time.Sleep(time.Millisecond) // The server sets the connection idle after the answer.
 	}
 	timeout.Store(int64(testIdleTimeout))
--- a/internal/site/lastanswer_test.go
+++ b/internal/httpserver/lastanswer_test.go
@@ -1,4 +1,4 @@
-package site
+package httpserver
 
 import (
 	"context"
@@ -61,8 +61,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	s.drain(ctx)
-	c.Check(s.close(), qt.IsNil)
+	s.Drain(ctx)
+	c.Check(s.Close(), qt.IsNil)
 	callers.Wait()
 	return int(lost.Load())
 }
--- a/internal/site/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -1,4 +1,4 @@
-package site
+package httpserver
 
 import (
 	"bufio"
@@ -11,27 +11,41 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"oleanderramp/internal/settings"
 )
 
+// newConnections returns connections with the limits.
+func newConnections(soft, hard int, idleTimeout func() time.Duration, overwhelmed func() bool) *Connections {
+	return NewConnections(Limits{
+		Soft: soft, Hard: hard, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, Overwhelmed: overwhelmed,
+	})
+}
+
+// newServer serves on the address.
+func newServer(address string, handler http.Handler, open *Connections) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return New(listener, open, Config{Handler: handler}), nil
+}
+
 // testServer serves on a loopback address. It accepts up to hardLimit
 // connections, or any number if hardLimit is 0, and closes those that were idle
 // for idleTimeout.
-func testServer(c *qt.C, hardLimit int, idleTimeout time.Duration, handler http.HandlerFunc) (string, *connections) {
+func testServer(c *qt.C, hardLimit int, idleTimeout time.Duration, handler http.HandlerFunc) (string, *Connections) {
 	open := newConnections(100, hardLimit, func() time.Duration { return idleTimeout }, func() bool { return false })
 	return serveConnections(c, open, handler), open
 }
 
 // serveConnections serves on a loopback address with the limits of open.
-func serveConnections(c *qt.C, open *connections, handler http.HandlerFunc) string {
+func serveConnections(c *qt.C, open *Connections, handler http.HandlerFunc) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	address := listener.Addr().String()
 	c.Assert(listener.Close(), qt.IsNil)
 	s, err := newServer(address, handler, open)
 	c.Assert(err, qt.IsNil)
-	c.Cleanup(func() { _ = s.close() })
+	c.Cleanup(func() { _ = s.Close() })
 	return address
 }
 
@@ -55,7 +69,7 @@
 	}
 	_, err = reader.ReadByte()
 	c.Check(err, qt.Equals, io.EOF)
-	c.Check(open.overSoftLimit(), qt.IsFalse)
+	c.Check(open.OverSoftLimit(), qt.IsFalse)
 }
 
 // TestListenerConnectionLimit opens more connections than the limit allows. The
@@ -80,7 +94,7 @@
 		c.Assert(request(conn), qt.IsNil)
 		conns = append(conns, conn)
 	}
-	c.Check(open.nearlyFull(), qt.IsTrue)
+	c.Check(open.NearlyFull(), qt.IsTrue)
 	beyond, err := net.Dial("tcp", address)
 	c.Assert(err, qt.IsNil)
 	defer beyond.Close()
@@ -126,16 +140,3 @@
 	c.Check(request(), qt.IsNil)
 	c.Check(requests, qt.Equals, 2)
 }
-
-func TestMaxOpenConnections(t *testing.T) {
-	tests := []struct{ memoryMB, descriptors, want int }{
-		{0, 4096, 2472},
-		{112, 4096, 2389},
-		{284, 4096, 2472},
-		{0, 0, 1},
-	}
-	for _, test := range tests {
-		got := maxOpenConnections(&settings.Site{MemoryMB: test.memoryMB, MaxDescriptors: test.descriptors})
-		qt.Check(t, got, qt.Equals, test.want)
-	}
-}
--- a/internal/site/disconnect.go
+++ b/internal/httpserver/socket.go
@@ -1,4 +1,4 @@
-package site
+package httpserver
 
 import (
 	"context"
@@ -20,10 +20,10 @@
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// callerDisconnected reports whether the caller of a request has closed its
+// CallerDisconnected reports whether the caller of a request has closed its
 // connection. It checks the socket, as the server may not have noticed the
 // close yet.
-func callerDisconnected(ctx context.Context) bool {
+func CallerDisconnected(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
 		return false
--- a/internal/site/disconnect_test.go
+++ b/internal/httpserver/socket_test.go
@@ -1,4 +1,4 @@
-package site
+package httpserver
 
 import (
 	"io"
@@ -16,9 +16,9 @@
 	c := qt.New(t)
 	before, closed, after := make(chan bool, 1), make(chan struct{}), make(chan struct{})
 	address, _ := testServer(c, 0, time.Hour, func(_ http.ResponseWriter, r *http.Request) {
-		before <- callerDisconnected(r.Context())
+		before <- CallerDisconnected(r.Context())
 		<-closed
-		for !callerDisconnected(r.Context()) {
+		for !CallerDisconnected(r.Context()) {
 			time.Sleep(time.Millisecond)
 		}
 		close(after)
--- a/internal/site/drain_test.go
+++ b/internal/site/drain_test.go
@@ -1,8 +1,11 @@
 package site
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -16,6 +19,41 @@
 	"oleanderramp/internal/telemetry"
 )
 
+// echo answers with the request's body, or breaks the connection off if the body
+// can't be read, as the forwarder does.
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body) // The client reports what is missing.
+}
+
+// post sends a request with a body and checks that the answer repeats it.
+func post(c *qt.C, conn net.Conn, body string) {
+	c.Helper()
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	c.Assert(err, qt.IsNil)
+	readEcho(c, conn, body)
+}
+
+// readEcho reads an answer and checks that it is the body of the request.
+func readEcho(c *qt.C, conn net.Conn, want string) {
+	c.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	c.Assert(err, qt.IsNil)
+	got, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(got), qt.Equals, len(want))
+}
+
+func dialServer(c *qt.C, address string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
 // routerAdapter is the part of an Adapter that a router needs to start.
 type routerAdapter struct{ Adapter }
 
@@ -32,7 +70,7 @@
 	c.Assert(err, qt.IsNil)
 	d.callers, err = d.serve("callers", "127.0.0.1:0", handler, d.router.conns)
 	c.Assert(err, qt.IsNil)
-	return d, d.callers.listener.Addr().String()
+	return d, d.callers.Address()
 }
 
 // shutDown drains and closes the daemon, and checks that nothing was aborted.
@@ -123,7 +161,7 @@
 	conn := dialServer(c, address)
 	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nCont")
 	c.Assert(err, qt.IsNil)
-	for d.router.conns.busy() == 0 {
+	for d.router.conns.Busy() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -12,6 +12,7 @@
 	"oleanderramp/internal/discovery"
 	"oleanderramp/internal/edge"
 	"oleanderramp/internal/endpoint"
+	"oleanderramp/internal/httpserver"
 	"oleanderramp/internal/peer"
 	"oleanderramp/internal/settings"
 	"oleanderramp/internal/telemetry"
@@ -90,7 +91,7 @@
 	client    *endpoint.Client
 	forwarder *edge.Forwarder
 	// conns tracks the callers' connections.
-	conns    *connections
+	conns    *httpserver.Connections
 	draining atomic.Bool
 	table    atomic.Pointer[routing.Table]
 	// lastSync is when a control host last answered; nil before that.
@@ -165,14 +166,18 @@
 			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdleTimeout, MaxIdle: maxIdleConnections, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
 		}),
 	}
-	r.conns = newConnections(d.settings.MaxConnections, maxOpenConnections(d.settings), func() time.Duration {
-		if table := r.Table(); table != nil {
-			return table.Limits().IdleTimeout
-		}
-		return 0
-	}, func() bool { return r.forwarder.Overwhelmed() })
+	r.conns = httpserver.NewConnections(httpserver.Limits{
+		Soft: d.settings.MaxConnections, Hard: maxOpenConnections(d.settings), ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout: func() time.Duration {
+			if table := r.Table(); table != nil {
+				return table.Limits().IdleTimeout
+			}
+			return 0
+		},
+		Overwhelmed: func() bool { return r.forwarder.Overwhelmed() },
+	})
 	r.forwarder = edge.New(edge.Config{
-		TooManyConnections: r.conns.overSoftLimit, CallerDisconnected: callerDisconnected, Lag: r.lag.value, StandingLag: r.StandingLag, UnsyncedFor: r.Unsynced, MaxActive: maxActiveRequests(d.settings),
+		TooManyConnections: r.conns.OverSoftLimit, CallerDisconnected: httpserver.CallerDisconnected, Lag: r.lag.value, StandingLag: r.StandingLag, UnsyncedFor: r.Unsynced, MaxActive: maxActiveRequests(d.settings),
 		Codec: d.adapter, Endpoints: r.client, Tables: r, Admission: r.admission, Log: d.log,
 		FindStream: r.findStream,
 		Metrics:    telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes,
@@ -199,7 +204,7 @@
 		return "the daemon is shutting down"
 	case r.Table() == nil:
 		return "no routing table is known yet"
-	case r.conns.nearlyFull():
+	case r.conns.NearlyFull():
 		return "too many connections are open"
 	case r.forwarder.Overloaded():
 		return "the daemon is overloaded"
@@ -234,11 +239,11 @@
 func (r *router) Active() int { return r.forwarder.Active() }
 
 // Connections returns the number of open connections of callers.
-func (r *router) Connections() int { return r.conns.count() }
+func (r *router) Connections() int { return r.conns.Count() }
 
 // RefusedConnections returns how many connections were closed on arrival
 // because the limit was reached.
-func (r *router) RefusedConnections() int64 { return r.conns.rejected.Load() }
+func (r *router) RefusedConnections() int64 { return r.conns.Rejected() }
 
 // Unsynced returns the time since a control host last answered, or since the
 // router started.
--- a/internal/site/shutdown.go
+++ b/internal/site/shutdown.go
@@ -43,9 +43,9 @@
 	if d.callers != nil {
 		// An answer is written only after it has been forwarded, and a request is
 		// read before it is counted as active.
-		d.callers.drain(ctx)
+		d.callers.Drain(ctx)
 	}
-	aborted := max(d.router.forwarder.Active(), d.router.conns.busy())
+	aborted := max(d.router.forwarder.Active(), d.router.conns.Busy())
 	if aborted > 0 {
 		event.RequestsAborted.Log(d.log, event.Fields{"host": d.settings.Host, "requests": aborted})
 	}
@@ -79,12 +79,12 @@
 func (d *Daemon) closeServers(ctx context.Context) []error {
 	var drained sync.WaitGroup
 	for _, s := range d.servers {
-		drained.Go(func() { s.drain(ctx) })
+		drained.Go(func() { s.Drain(ctx) })
 	}
 	drained.Wait()
 	var errs []error
 	for _, s := range d.servers {
-		errs = append(errs, s.close())
+		errs = append(errs, s.Close())
 	}
 	return errs
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -18,6 +18,7 @@
 	"oleanderramp/internal/edge"
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/event"
+	"oleanderramp/internal/httpserver"
 	"oleanderramp/internal/peer"
 	"oleanderramp/internal/settings"
 	"oleanderramp/internal/telemetry"
@@ -72,9 +73,9 @@
 	control  *control
 	router   *router
 	peers    *peer.Server
-	servers  []*server
+	servers  []*httpserver.Server
 	// callers is the server of callers; nil for a daemon without one.
-	callers *server
+	callers *httpserver.Server
 }
 
 // New starts a daemon with the roles in its settings. If it returns an error,
@@ -130,14 +131,8 @@
 	return err
 }
 
-// internalConnections returns the connection limits of a listener that does not
-// serve callers.
-func (d *Daemon) internalConnections() *connections {
-	return newConnections(d.settings.MaxConnections, 0, func() time.Duration { return 0 }, func() bool { return false })
-}
-
 // serve opens a listener. It returns nil if the address is empty.
-func (d *Daemon) serve(name, address string, handler http.Handler, open *connections) (*server, error) {
+func (d *Daemon) serve(name, address string, handler http.Handler, open *httpserver.Connections) (*httpserver.Server, error) {
 	if address == "" {
 		return nil, nil
 	}
