Accept the connections in a listener's queue before it is closed

What callers saw: a connection was reset whose request was on its way or whole, as the daemon shut down. Cause: the kernel resets the connections that a listener has not yet accepted when it is closed. Seen once while TestShutdownWaitsForHeader was mended: connect, half of a header, shutdown at once. A busy accept loop makes it likelier.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -51,6 +51,7 @@
 // the others have answered their requests and are closed as well, or until the
 // context ends.
 func (s *Server) Drain(ctx context.Context) {
+	awaitQueued(ctx, s.listener)
 	_ = s.listener.Close() // It may be closed already.
 	s.done.Wait()
 	s.open.closeIdle()
