Answer requests that begin to arrive around a shutdown, also over TLS

What callers saw: at a listener of the product's own interface, a request whose header came in two parts around a shutdown got neither an answer nor a refusal. Cause: http.Server.Shutdown counts a connection as idle while a header arrives, and drops a request that is read after it has begun.

The listeners now use internal/httpserver. Only a connection's reader ends it as idle, after a look into the socket; net/http's own idle timer, a read deadline that fires whatever has arrived, no longer decides. The servers are drained, not shut down: idle connections are closed, and the rest is waited for.

With TLS the tracked connection is above it: below, a handshake can't be told from a request. HTTP/2 connections go to a server of their own, which net/http shuts down: GOAWAY names the last request that is answered. That can't be the server of HTTP/1, where a shutdown drops requests. An answer during a drain says Connection: close, as net/http did.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"time"
 
 	"oleanderramp/internal/caller"
+	"oleanderramp/internal/httpserver"
 	"oleanderramp/internal/settings"
 )
 
@@ -48,10 +50,8 @@
 
 // httpServer is one HTTP listener and its server.
 type httpServer struct {
-	listener net.Listener
-	bounded  *boundedListener
-	server   *http.Server
-	done     sync.WaitGroup
+	bounded *boundedListener
+	server  *httpserver.Server
 }
 
 // newHTTPServer opens the address and starts to serve.
@@ -64,42 +64,42 @@
 	if err != nil {
 		return nil, err
 	}
-	bounded := newBoundedListener(listener, limits.MaxConnections, cfg == nil)
-	h := &httpServer{
-		listener: listener, bounded: bounded,
-		server: &http.Server{
-			Handler:           withDeadlines(handler, limits),
-			TLSConfig:         cfg,
-			ReadHeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    limits.MaxHeaderBytes,
-		},
-	}
-	h.done.Go(func() {
-		if cfg != nil {
-			_ = h.server.ServeTLS(bounded, "", "") // Returns once the server is shut down.
-			return
-		}
-		_ = h.server.Serve(bounded) // Returns once the server is shut down.
+	bounded := newBoundedListener(listener.(*net.TCPListener), limits.MaxConnections, cfg == nil)
+	open := httpserver.NewConnections(httpserver.Limits{
+		Soft:              math.MaxInt, // The listener refuses what is beyond its limit.
+		ReadHeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
+		IdleTimeout:       func() time.Duration { return idleTimeout },
+		Overwhelmed:       func() bool { return false },
 	})
-	return h, nil
+	return &httpServer{bounded: bounded, server: httpserver.New(bounded, open, httpserver.Config{
+		Handler: closeWhileDraining(open, withDeadlines(handler, limits)), TLS: cfg, MaxHeaderBytes: limits.MaxHeaderBytes,
+	})}, nil
 }
 
 // address returns the address that the server listens on.
-func (h *httpServer) address() string { return h.listener.Addr().String() }
+func (h *httpServer) address() string { return h.server.Address() }
 
-// shutdown closes the listener, waits for the requests in progress until the
-// context ends, and then closes the remaining connections.
+// shutdown closes the listener and the idle connections, waits until the context
+// ends for the requests that have begun to arrive, and then closes the remaining
+// connections.
 func (h *httpServer) shutdown(ctx context.Context) error {
-	err := h.server.Shutdown(ctx)
-	if err != nil {
-		err = errors.Join(err, h.server.Close())
-	}
-	h.done.Wait()
+	h.server.Drain(ctx)
+	err := h.server.Close()
 	h.bounded.refusing.Wait()
 	return err
 }
 
+// closeWhileDraining tells callers that get an answer during a drain that their
+// connection ends with it.
+func closeWhileDraining(open *httpserver.Connections, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if open.Closing() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // Limits for refused connections.
 const (
 	// maxRefusals is the number of connections that may be answered with a
@@ -112,7 +112,7 @@
 // boundedListener limits the number of open connections, and refuses those
 // beyond the limit.
 type boundedListener struct {
-	net.Listener
+	*net.TCPListener
 	semaphore chan struct{}
 	// answersRefused is true if refused connections get an HTTP answer, which
 	// is the case for plain TCP only.
@@ -122,9 +122,9 @@
 	refusing         sync.WaitGroup
 }
 
-func newBoundedListener(listener net.Listener, maxConnections int, answersRefused bool) *boundedListener {
+func newBoundedListener(listener *net.TCPListener, maxConnections int, answersRefused bool) *boundedListener {
 	return &boundedListener{
-		Listener: listener, semaphore: make(chan struct{}, maxConnections), answersRefused: answersRefused,
+		TCPListener: listener, semaphore: make(chan struct{}, maxConnections), answersRefused: answersRefused,
 		refusalSemaphore: make(chan struct{}, maxRefusals),
 	}
 }
@@ -133,13 +133,13 @@
 // is reached are refused.
 func (b *boundedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := b.Listener.Accept()
+		conn, err := b.AcceptTCP()
 		if err != nil {
 			return nil, err
 		}
 		select {
 		case b.semaphore <- struct{}{}:
-			return &boundedConn{Conn: conn, semaphore: b.semaphore}, nil
+			return &boundedConn{TCPConn: conn, semaphore: b.semaphore}, nil
 		default:
 			b.refuse(conn)
 		}
@@ -148,22 +148,22 @@
 
 // refuse closes the connection. On plain TCP it sends an answer first, unless
 // maxRefusals connections are being answered already.
-func (b *boundedListener) refuse(conn net.Conn) {
+func (b *boundedListener) refuse(conn *net.TCPConn) {
 	if !b.answersRefused {
-		conn.Close()
+		_ = conn.Close() // The caller may have disconnected.
 		return
 	}
 	select {
 	case b.refusalSemaphore <- struct{}{}:
 	default:
-		conn.Close()
+		_ = conn.Close() // The caller may have disconnected.
 		return
 	}
 	b.refusing.Go(func() {
 		defer func() { <-b.refusalSemaphore }()
-		defer conn.Close()
+		defer func() { _ = conn.Close() }()                 // The caller may have disconnected.
 		_ = conn.SetDeadline(time.Now().Add(refuseTimeout)) // On a closed connection the write below fails.
-		if caller.RefuseConnection(conn) != nil || closeWrite(conn) != nil {
+		if caller.RefuseConnection(conn) != nil || conn.CloseWrite() != nil {
 			return
 		}
 		// Closing a socket with unread bytes sends a reset, and the client may
@@ -172,17 +172,9 @@
 	})
 }
 
-// closeWrite closes the sending side of a TCP connection.
-func closeWrite(conn net.Conn) error {
-	if half, ok := conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
 // boundedConn releases the listener's semaphore when it is closed.
 type boundedConn struct {
-	net.Conn
+	*net.TCPConn
 	semaphore chan struct{}
 	once      sync.Once
 }
@@ -190,13 +182,9 @@
 // Close closes the connection.
 func (c *boundedConn) Close() error {
 	c.once.Do(func() { <-c.semaphore })
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
 
-// CloseWrite closes the sending side, which the HTTP server does before it
-// closes a connection with unread bytes.
-func (c *boundedConn) CloseWrite() error { return closeWrite(c.Conn) }
-
 // withDeadlines limits the time for reading a request's body and the time for
 // each write of its answer.
 func withDeadlines(handler http.Handler, limits settings.Limits) http.Handler {
--- a/internal/httpserver/acceptedconn.go
+++ b/internal/httpserver/acceptedconn.go
@@ -28,7 +28,10 @@
 	net.Conn
 	// socket is the TCP connection, which is below Conn with TLS.
 	socket syscall.Conn
-	limit  idleLimit
+	// partial reports whether a part of a TLS record was read; nil without TLS. Only
+	// the reader may call it.
+	partial func() bool
+	limit   idleLimit
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -43,6 +46,9 @@
 	// this was so when the connection became idle: the server reads ahead by one
 	// byte, which is then the first of the next request.
 	readLast, begun bool
+	// recordUntil is when a TLS record that has begun to arrive must be complete; zero
+	// before the idle time has passed.
+	recordUntil time.Time
 	// readErr and writeErr are the results of the latest Read and Write.
 	readErr, writeErr error
 }
@@ -69,9 +75,6 @@
 	return nil
 }
 
-// hasArrived reports whether bytes have arrived that were not read yet.
-func (c *acceptedConn) hasArrived() bool { return hasUnread(c.socket) }
-
 // setIdle marks the connection as idle since the end of a request.
 func (c *acceptedConn) setIdle(now time.Time) {
 	c.mu.Lock()
@@ -126,12 +129,8 @@
 func (c *acceptedConn) setIdleDeadline(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	until := c.idleUntil()
-	if !until.After(now) && c.hasArrived() {
-		until = now.Add(c.limit.headerTimeout())
-	}
 	c.waiting = true
-	_ = c.SetReadDeadline(until) // On a closed connection the read fails.
+	_ = c.SetReadDeadline(c.openUntil(now)) // On a closed connection the read fails.
 }
 
 // expired reports whether the connection has been idle for too long and nothing
@@ -139,7 +138,26 @@
 func (c *acceptedConn) expired(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.idleUntil().After(now) && !c.hasArrived()
+	return !c.openUntil(now).After(now)
+}
+
+// openUntil returns until when the connection may stay open without a request, of
+// which something may have arrived. The caller holds c.mu.
+func (c *acceptedConn) openUntil(now time.Time) time.Time {
+	until := c.idleUntil()
+	switch {
+	case until.After(now):
+		return until
+	case c.partial != nil && c.partial():
+		if c.recordUntil.IsZero() {
+			c.recordUntil = now.Add(c.limit.headerTimeout())
+		}
+		return c.recordUntil
+	case hasUnread(c.socket):
+		return now.Add(c.limit.headerTimeout())
+	default:
+		return until
+	}
 }
 
 // idleUntil returns until when the idle connection may stay open. The caller
@@ -160,7 +178,7 @@
 	c.readErr, c.waiting = err, false
 	c.readLast = c.readLast || n > 0
 	if n > 0 && !c.idleSince.IsZero() {
-		c.idleSince = time.Time{}
+		c.idleSince, c.recordUntil = time.Time{}, time.Time{}
 		_ = c.SetReadDeadline(now.Add(c.limit.headerTimeout())) // On a closed connection the next read fails.
 	}
 }
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -37,7 +37,8 @@
 }
 
 // Connections tracks the open connections of a server and limits how long they
-// may be idle. It is safe for concurrent use.
+// may be idle. Those that speak HTTP/2 are left out, as net/http itself ends them in
+// agreement with the caller. It is safe for concurrent use.
 type Connections struct {
 	limits Limits
 	// rejected counts the connections closed on arrival.
@@ -81,7 +82,7 @@
 // onStateChange tracks the state of a connection.
 func (c *Connections) onStateChange(conn net.Conn, state http.ConnState) {
 	c.track(conn, state)
-	accepted, ok := conn.(*acceptedConn)
+	accepted, ok := tracked(conn)
 	if !ok {
 		return
 	}
@@ -121,13 +122,16 @@
 	defer c.mu.Unlock()
 	var list []*acceptedConn
 	for conn := range c.open {
-		if accepted, ok := conn.(*acceptedConn); ok {
+		if accepted, ok := tracked(conn); ok {
 			list = append(list, accepted)
 		}
 	}
 	return list
 }
 
+// Closing reports whether idle connections are closed without delay.
+func (c *Connections) Closing() bool { return c.closing.Load() }
+
 // Busy returns the number of connections on which a request is in progress.
 func (c *Connections) Busy() int {
 	count := 0
--- a/internal/httpserver/socket.go
+++ b/internal/httpserver/socket.go
@@ -14,7 +14,7 @@
 
 // withConn returns the context for the requests of a connection.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	if accepted, ok := conn.(*acceptedConn); ok {
+	if accepted, ok := tracked(conn); ok {
 		ctx = edge.WithConnection(ctx, accepted)
 	}
 	return context.WithValue(ctx, connKey{}, conn)
