Let the level of the shares follow rising demand

By the routers' logs the level was 12 to 14 million tokens at first, the capacity of 4 s, 6.6 after a second and 2.8 after two: by then rase580 had 8.6 million in 1.7 s, far more than the limit of 3.2 million a second, and other accounts were refused as busy.

Cause: what an account asks for is summed over a window of 4 s, so that demand that has just begun counts for a fraction of what it is.

An account's demand is now the larger of that sum and the rate at which the sum rises, taken for the whole window. The rise is measured over 250 ms or more from the sums that routers get anyway. In steady state a sum does not rise.

TestAccountThatAsksFirstGetsNoMoreThanItsShare: 3.00 and 3.37 times its share in the first window before, with reports of 200 and 400 ms, 1.50 and 1.88 now.

--- a/internal/share/fleet_test.go
+++ b/internal/share/fleet_test.go
@@ -11,8 +11,9 @@
 
 // fleetModel is a fleet of routers, in virtual time, that each count the use of
 // shares and hear of the others' use some time later. Engines have room for all that
-// is admitted.
+// is admitted, or, with noSpare set, none beyond the accounts' levels.
 type fleetModel struct {
+	noSpare            bool
 	routers, reportAge int
 	// capacity is in tokens per window.
 	capacity float64
@@ -107,7 +108,7 @@
 			continue
 		}
 		s := l.Share(now, f.account, m.capacity)
-		if s.WithinLevel() || s.WithinSpareLevel() {
+		if s.WithinLevel() || !m.noSpare && s.WithinSpareLevel() {
 			l.RecordAdmitted(now, f.account, f.tokens)
 			got += f.tokens
 		}
@@ -166,3 +167,29 @@
 		})
 	}
 }
+
+// TestAccountThatAsksFirstGetsNoMoreThanItsShare guards against an account that asks for
+// far more than the others when all of them begin to send, and gets the capacity of a
+// whole window: what the others ask for adds up over the window only later.
+func TestAccountThatAsksFirstGetsNoMoreThanItsShare(t *testing.T) {
+	const (
+		capacity = 12_800_000
+		// evenShare is that of each of the four accounts, all of which ask for more.
+		evenShare = capacity / 4
+		// maxPart is the part of its share from which on an account has twice what another
+		// gets that has its share.
+		maxPart = 2.0
+	)
+	for _, reportAge := range []int{2, 4} {
+		c := qt.New(t)
+		m := fleetModel{noSpare: true, routers: 82, reportAge: reportAge, capacity: capacity, flows: []flow{
+			{account: "first", routers: 82, perSecond: 1000, tokens: 6000},
+			{account: "a", routers: 2, perSecond: 200, tokens: 6000},
+			{account: "b", routers: 2, perSecond: 200, tokens: 6000},
+			{account: "c", routers: 20, perSecond: 200, tokens: 6000},
+		}}
+		admitted := m.run(int(window / modelStep))
+		part := total(admitted[0], 0, len(admitted[0])) / evenShare
+		c.Check(part < maxPart, qt.IsTrue, qt.Commentf("reports of %d00 ms: the account gets %.2f of its share", reportAge, part))
+	}
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -56,6 +56,8 @@
 	totalsAt      time.Time
 	level         float64
 	levelCapacity float64
+	// rise shows demand that has not yet added up over the window.
+	rise rise
 }
 
 // totalsMaxAge is how long the totals and the level computed from them are
@@ -249,9 +251,10 @@
 	for _, u := range l.OwnUse(now) {
 		l.totals[u.Account] = u.Add(l.totals[u.Account])
 	}
+	l.rise.advance(now, l.totals)
 	asked := make([]float64, 0, len(l.totals))
 	for _, u := range l.totals {
-		asked = append(asked, u.Asked)
+		asked = append(asked, l.rise.demand(now, u, l.window))
 	}
 	l.level = fairLevel(asked, capacity)
 }
