Give the processes of session tests their own process groups

Cause: when the shell that began the tests ends, the stopped processes of its process group get SIGHUP. oleanderramp serve does not handle it, so that a frozen daemon ended; the others went on. Whether the shell or the kernel sends it was not told apart. Nothing of the product was at fault.

With sleep in place of the daemon, the stopped one was ended by SIGHUP, the running one was not, and a stopped one in a process group of its own was not either.

Each process now has its own group, whose parent is the test. As signals to the group of the tests no longer reach it, it ends with the test (SIGKILL on the parent's death).

TestProcessesHaveTheirOwnGroup fails without it. After SIGKILL to the tests four of five processes were listed 0.5 s later, none some seconds later.

--- a/sessions/fleet_test.go
+++ b/sessions/fleet_test.go
@@ -17,6 +17,7 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -259,6 +260,9 @@
 func (f *fleet) startProcess(name, path string, args ...string) error {
 	p := &process{cmd: exec.Command(path, args...), stderr: &lockedBuffer{}, exited: make(chan struct{})}
 	p.cmd.Stderr = p.stderr
+	// When the shell that began the tests ends, the stopped processes of its process
+	// group get SIGHUP, which ends a frozen daemon.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -273,6 +277,19 @@
 	return nil
 }
 
+// TestProcessesHaveTheirOwnGroup guards against a frozen process that SIGHUP ends,
+// because its process group is that of a shell that ends before the tests.
+func TestProcessesHaveTheirOwnGroup(t *testing.T) {
+	c := qt.New(t)
+	f := &fleet{procs: make(map[string]*process)}
+	c.Assert(f.startProcess("sleeper", "/bin/sleep", "60"), qt.IsNil)
+	defer f.closeAll()
+	pid := f.procs["sleeper"].cmd.Process.Pid
+	group, err := syscall.Getpgid(pid)
+	c.Check(err, qt.IsNil)
+	c.Check(group, qt.Equals, pid)
+}
+
 // signal sends a signal to a process.
 func (f *fleet) signal(name string, s syscall.Signal) error {
 	p, ok := f.procs[name]
