Count in the soak's bounds only time in which it runs

Cause: the bounds of RECOVER and ENDED, of the spread of a routing table and of the convergence of control hosts were in wall-clock time, in which nothing runs while the machine stalls.

A running clock adds the time between checks 20 ms apart. A gap of 0.5 s or more, which the soak lists as a stall, counts as one interval; a shorter one counts whole, so that on a machine that runs, however slowly, the bounds end when they did (TestRunningClock, TestBoundsOfARunningProcess).

What is not covered: a stall of the site's processes alone, and one shorter than 0.5 s.

--- a/internal/soak/finalfault.go
+++ b/internal/soak/finalfault.go
@@ -20,7 +20,7 @@
 // while all other processes are killed at the same moment. What was acknowledged must
 // be there afterwards, and the site must serve again.
 func (s *Site) runFinalFault(ctx context.Context, random *rand.Rand) {
-	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	bounded, cancel := withRunningTimeout(ctx, recoveryTimeout)
 	defer cancel()
 	version, body := s.versions.next(randomTable(random), false)
 	if !s.order(bounded, version, body, random) {
@@ -28,7 +28,7 @@
 		return
 	}
 	s.loseDisks(random)
-	recovery, cancelRecovery := context.WithTimeout(ctx, recoveryTimeout)
+	recovery, cancelRecovery := withRunningTimeout(ctx, recoveryTimeout)
 	defer cancelRecovery()
 	s.checkAcknowledged(recovery, version)
 	s.awaitServing(recovery, random, "the final fault")
--- a/internal/soak/phases.go
+++ b/internal/soak/phases.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// The timeouts count the time in which this process runs (runningClock).
+	//
 	// startTimeout limits the time until the first order is acknowledged. It is not
 	// a performance criterion.
 	startTimeout = time.Minute
@@ -32,7 +34,7 @@
 	runCtx, stopRun := context.WithCancel(context.Background())
 	defer stopRun()
 	version, body := s.versions.next(defaultTable(0), false)
-	startCtx, stopStart := context.WithTimeout(runCtx, startTimeout)
+	startCtx, stopStart := withRunningTimeout(runCtx, startTimeout)
 	defer stopStart()
 	if !s.order(startCtx, version, body, random) {
 		s.recorder.addFinding("RECOVER", "the first order was not acknowledged within %v", startTimeout)
@@ -116,7 +118,7 @@
 // each kind of request. It returns false, and reports it, if that takes longer than
 // recoveryTimeout after the fault.
 func (s *Site) awaitServing(ctx context.Context, random *rand.Rand, fault string) bool {
-	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	bounded, cancel := withRunningTimeout(ctx, recoveryTimeout)
 	defer cancel()
 	version, body := s.versions.next(defaultTable(0), false)
 	if !s.order(bounded, version, body, random) {
@@ -145,14 +147,14 @@
 	defer work.Wait()
 	work.Go(func() { s.restartPlanned(s.routers[0]) })
 	work.Go(func() { s.endpoints[0].leave(ctx) })
-	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	bounded, cancel := withRunningTimeout(ctx, recoveryTimeout)
 	defer cancel()
 	version, body := s.versions.next(defaultTable(0), false)
 	if !s.order(bounded, version, body, random) {
 		s.recorder.addFinding("RECOVER", "no order was acknowledged within %v without faults", recoveryTimeout)
 		return
 	}
-	sleep(ctx, propagationTimeout)
+	awaitWhileRunning(ctx.Done(), propagationTimeout)
 	for i, p := range s.routers {
 		if _, serving := p.state(); serving && s.probeVersion(ctx, i, version) == versionInactive {
 			s.recorder.addFinding("CONFIG", "%s did not use version %d within %v of its acknowledgement", p.name(), version, propagationTimeout)
@@ -176,14 +178,22 @@
 func (s *Site) checkConvergence(ctx context.Context) {
 	acknowledged, _ := s.versions.known()
 	for i, p := range s.controls {
-		end := time.Now().Add(recoveryTimeout)
-		for s.readRoutingTable(ctx, i) < acknowledged {
-			if time.Now().After(end) {
-				s.recorder.addFinding("LOST", "%s did not return version %d or later within %v", p.name(), acknowledged, recoveryTimeout)
-				break
-			}
-			sleep(ctx, probeInterval)
+		if !s.awaitVersion(ctx, i, acknowledged) {
+			s.recorder.addFinding("LOST", "%s did not return version %d or later within %v", p.name(), acknowledged, recoveryTimeout)
 		}
 	}
 	s.faultFreeUntil = s.since()
 }
+
+// awaitVersion waits until a control host returns the version or a later one. It
+// returns false if it does not within recoveryTimeout.
+func (s *Site) awaitVersion(ctx context.Context, control, version int) bool {
+	bounded, cancel := withRunningTimeout(ctx, recoveryTimeout)
+	defer cancel()
+	for s.readRoutingTable(ctx, control) < version {
+		if !sleep(bounded, probeInterval) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -134,7 +134,7 @@
 }
 
 // awaitEnd waits for the program to exit. It returns false if the program is
-// still running after the timeout.
+// still running after the timeout, which counts the time in which this process runs.
 func (p *Process) awaitEnd(timeout time.Duration) bool {
 	p.mu.Lock()
 	running, exited := p.cmd != nil, p.exited
@@ -142,12 +142,7 @@
 	if !running {
 		return true
 	}
-	select {
-	case <-exited:
-		return true
-	case <-time.After(timeout):
-		return false
-	}
+	return awaitWhileRunning(exited, timeout)
 }
 
 // state returns the number of the current start, and whether the program is
--- a/internal/soak/stall.go
+++ b/internal/soak/stall.go
@@ -45,3 +45,54 @@
 	}
 	return false
 }
+
+// runningClock counts the time in which this process ran. Its site's processes are
+// taken to stall with it, as they do on a machine that stalls.
+type runningClock struct {
+	last time.Time
+	ran  time.Duration
+}
+
+// advance adds the time since the last call, at most stallCheckInterval of it if the
+// process stalled meanwhile, and returns the time that the process ran.
+func (c *runningClock) advance(now time.Time) time.Duration {
+	elapsed := now.Sub(c.last)
+	if elapsed >= minStall+stallCheckInterval {
+		elapsed = stallCheckInterval
+	}
+	c.last = now
+	c.ran += elapsed
+	return c.ran
+}
+
+// awaitWhileRunning waits until done is closed. It returns false if this process has
+// run for the timeout before.
+func awaitWhileRunning(done <-chan struct{}, timeout time.Duration) bool {
+	clock := runningClock{last: time.Now()}
+	for {
+		select {
+		case <-done:
+			return true
+		case <-time.After(min(stallCheckInterval, timeout-clock.ran)):
+		}
+		if clock.advance(time.Now()) >= timeout {
+			return false
+		}
+	}
+}
+
+// withRunningTimeout returns a context that ends when this process has run for the
+// timeout. The function that it returns ends it before, and waits for the clock.
+func withRunningTimeout(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		defer cancel()
+		awaitWhileRunning(ctx.Done(), timeout)
+	}()
+	return ctx, func() {
+		cancel()
+		<-stopped
+	}
+}
--- a/internal/soak/stall_test.go
+++ b/internal/soak/stall_test.go
@@ -38,6 +38,57 @@
 	}
 }
 
+// TestRunningClock guards against bounds that end while neither the soak nor its
+// processes run, and against bounds that a slow machine extends.
+func TestRunningClock(t *testing.T) {
+	const short = minStall + stallCheckInterval - time.Millisecond
+	tests := []struct {
+		name string
+		gaps []time.Duration
+		want time.Duration
+	}{
+		{"running", []time.Duration{stallCheckInterval, stallCheckInterval}, 2 * stallCheckInterval},
+		{"slow", []time.Duration{short, short}, 2 * short},
+		{"stalled", []time.Duration{stallCheckInterval, time.Hour}, 2 * stallCheckInterval},
+		{"shortest stall", []time.Duration{short + time.Millisecond}, stallCheckInterval},
+		{"runs again", []time.Duration{time.Minute, short, stallCheckInterval}, short + 2*stallCheckInterval},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Now()
+			clock := runningClock{last: now}
+			for _, gap := range test.gaps {
+				now = now.Add(gap)
+				clock.advance(now)
+			}
+			qt.Check(t, clock.ran, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestBoundsOfARunningProcess checks that a bound ends at its time while the process
+// runs, no later.
+func TestBoundsOfARunningProcess(t *testing.T) {
+	for _, timeout := range []time.Duration{time.Millisecond, recoveryTimeout, shutdownTimeout + 3*time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			ctx, cancel := withRunningTimeout(t.Context(), timeout)
+			defer cancel()
+			<-ctx.Done()
+			qt.Check(t, time.Since(start), qt.Equals, timeout)
+		})
+	}
+}
+
+// TestEndBeforeTheBound checks that what ends in time is not reported.
+func TestEndBeforeTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		done := make(chan struct{})
+		time.AfterFunc(recoveryTimeout-time.Millisecond, func() { close(done) })
+		qt.Check(t, awaitWhileRunning(done, recoveryTimeout), qt.IsTrue)
+	})
+}
+
 // TestRunningProcessHasNoStalls checks that nothing is recorded while the process runs.
 func TestRunningProcessHasNoStalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
