--- a/internal/soak/finalfault.go
+++ b/internal/soak/finalfault.go
@@ -23,7 +23,7 @@
 // while all other processes are killed at the same moment. What was acknowledged must
 // be there afterwards, and the site must serve again.
 func (s *Site) runFinalFault(ctx context.Context, random *rand.Rand) {
-	bounded, cancel := context.WithTimeout(ctx, recoveryTimeout)
+	bounded, cancel := withRunningTimeout(ctx, recoveryTimeout)
 	defer cancel()
 	var repaired *Process
 	if random.IntN(2) == 0 && s.tolerated() > 0 {
@@ -54,7 +54,7 @@
 // it is there afterwards. The process repaired, if any, counts as one of the lost disks.
 func (s *Site) loseDisksAfterAck(ctx context.Context, version int, repaired *Process, random *rand.Rand) {
 	s.loseDisks(random, s.chooseLost(random, repaired))
-	recovery, cancelRecovery := context.WithTimeout(ctx, recoveryTimeout)
+	recovery, cancelRecovery := withRunningTimeout(ctx, recoveryTimeout)
 	defer cancelRecovery()
 	s.checkAcknowledged(recovery, version)
 	s.awaitServing(recovery, random, "the final fault")
