Let a call to a control host last while the host sends

What operators would see, in a test: an acknowledged routing table of 1 MiB was never put in force by a router whose link carries 1 MiB/s, and a router that started there never became ready, also with a table of 0.3 s. A call that brings the table ended 0.6 s after it began (0.15 s for a first table), however much had arrived, and the connection was dropped; the next call began the transfer anew.

The timeout now runs from the last byte that the host has sent, up to 30 s in all. A host that sends nothing is given up as early as before.

--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -9,6 +9,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -53,10 +54,17 @@
 
 	mu sync.Mutex
 	// conns holds at most one open connection per host.
-	conns  map[string]*grpc.ClientConn
+	conns  map[string]hostConn
 	closed bool
 }
 
+// hostConn is a connection to a host.
+type hostConn struct {
+	*grpc.ClientConn
+	// received is the number of bytes that the host has sent.
+	received *atomic.Uint64
+}
+
 // NewDialer returns a dialer for the hosts, by name. A nil tlsConfig means
 // plain TCP.
 func NewDialer(hosts map[string]Host, tlsConfig *tls.Config) *Dialer {
@@ -99,36 +107,43 @@
 			}),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 		},
-		conns: make(map[string]*grpc.ClientConn),
+		conns: make(map[string]hostConn),
 	}
 }
 
 // Conn returns the connection to the host, and opens it if there is none.
 func (d *Dialer) Conn(host string) (*grpc.ClientConn, error) {
+	conn, err := d.connect(host)
+	return conn.ClientConn, err
+}
+
+func (d *Dialer) connect(host string) (hostConn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.closed {
-		return nil, fmt.Errorf("connect to %s: dialer is closed", host)
+		return hostConn{}, fmt.Errorf("connect to %s: dialer is closed", host)
 	}
 	if conn, ok := d.conns[host]; ok {
 		return conn, nil
 	}
 	target, ok := d.lookup(host)
 	if !ok {
-		return nil, fmt.Errorf("connect to %s: not a control host", host)
+		return hostConn{}, fmt.Errorf("connect to %s: not a control host", host)
 	}
-	options := append(slices.Clone(d.options), grpc.WithContextDialer(d.countingDialFunc(target)))
-	conn, err := grpc.NewClient("passthrough:///"+target.Address, options...)
+	received := new(atomic.Uint64)
+	options := append(slices.Clone(d.options), grpc.WithContextDialer(d.countingDialFunc(target, received)))
+	client, err := grpc.NewClient("passthrough:///"+target.Address, options...)
 	if err != nil {
-		return nil, fmt.Errorf("connect to %s: %w", host, err)
+		return hostConn{}, fmt.Errorf("connect to %s: %w", host, err)
 	}
+	conn := hostConn{ClientConn: client, received: received}
 	d.conns[host] = conn
 	return conn, nil
 }
 
 // countingDialFunc returns a dial function whose connections count their
-// traffic.
-func (d *Dialer) countingDialFunc(host Host) func(context.Context, string) (net.Conn, error) {
+// traffic, and what they receive also in received.
+func (d *Dialer) countingDialFunc(host Host, received *atomic.Uint64) func(context.Context, string) (net.Conn, error) {
 	traffic := &d.intraRegion
 	if host.CrossRegion {
 		traffic = &d.crossRegion
@@ -138,7 +153,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countingConn{Conn: conn, traffic: traffic}, nil
+		return &countingConn{Conn: conn, traffic: traffic, received: received}, nil
 	}
 }
 
@@ -155,7 +170,7 @@
 func (d *Dialer) Drop(host string, conn *grpc.ClientConn) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.conns[host] != conn {
+	if d.conns[host].ClientConn != conn {
 		return
 	}
 	delete(d.conns, host)
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -40,19 +41,31 @@
 	return wire.NewSyncClient(conn).FindStream(ctx, request)
 }
 
-// Exchange sends the request to the control host and returns its response. If
-// the call times out, the connection is dropped, as it may be permanently
-// unresponsive.
+// maxTransferTime bounds a call during which the host keeps sending.
+const maxTransferTime = 30 * time.Second
+
+// Exchange sends the request to the control host and returns its response. It fails if
+// the host sends nothing for the timeout: a large response may take longer. The
+// connection is then dropped, as it may be permanently unresponsive.
 func Exchange(ctx context.Context, dialer *Dialer, host string, timeout time.Duration, request *wire.SyncRequest) (*wire.SyncResponse, error) {
-	conn, err := dialer.Conn(host)
+	conn, err := dialer.connect(host)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, maxTransferTime)
 	defer cancel()
-	response, err := wire.NewSyncClient(conn).Exchange(ctx, request)
-	if status.Code(err) == codes.DeadlineExceeded {
-		dialer.Drop(host, conn)
+	watched, silence := watchSilence(ctx, timeout, conn.received)
+	defer silence.stop()
+	response, err := wire.NewSyncClient(conn).Exchange(watched, request)
+	if err == nil {
+		return response, nil
+	}
+	silent := errors.Is(context.Cause(watched), errSilent)
+	if silent {
+		err = errSilent
+	}
+	if silent || status.Code(err) == codes.DeadlineExceeded {
+		dialer.Drop(host, conn.ClientConn)
 	}
-	return response, err
+	return nil, err
 }
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -22,11 +22,16 @@
 type countingConn struct {
 	net.Conn
 	traffic *Traffic
+	// received counts the bytes read as well; nil if nothing else does.
+	received *atomic.Uint64
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.traffic.received.Add(uint64(n))
+	if c.received != nil {
+		c.received.Add(uint64(n))
+	}
 	return n, err
 }
 
