Read large bodies of refused requests at the product's interface

The response is written as before, now with its length so that it is complete at once, and the rest of the body is then read, for 3 s and 64 MiB at most. A body that can't be read in time is not read again.

TestRefusalOfLargeBodyArrives failed before in each of its four cases (broken pipe).

--- a/internal/caller/response.go
+++ b/internal/caller/response.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -33,6 +34,8 @@
 	// headSent is true once the status may have been sent to the caller.
 	headSent    bool
 	eventStream bool
+	// body is the request's body; nil once it can't be read.
+	body io.Reader
 	// bodyUnread is true until the whole body of an HTTP/1 request has been
 	// read.
 	bodyUnread        bool
@@ -47,7 +50,7 @@
 // for reading r's body, which also covers what the server reads of it after an
 // error response.
 func (h *handler) newResponseWriter(w http.ResponseWriter, r *http.Request) *responseWriter {
-	a := &responseWriter{w: w, control: http.NewResponseController(w), id: newRequestID(), writeStallTimeout: h.cfg.WriteStallTimeout}
+	a := &responseWriter{w: w, control: http.NewResponseController(w), id: newRequestID(), body: r.Body, writeStallTimeout: h.cfg.WriteStallTimeout}
 	if r.ContentLength != 0 {
 		a.bodyUnread = r.ProtoMajor == 1
 		_ = a.control.SetReadDeadline(time.Now().Add(h.cfg.ReadBodyTimeout)) // If unsupported, the server's own deadlines apply.
@@ -109,15 +112,16 @@
 // connection is aborted, so that the caller can't mistake a partial response
 // for a complete one.
 func (a *responseWriter) writeError(err *router.Error) {
-	body := a.errorBody(err)
+	body := append(a.errorBody(err), '\n')
 	if a.headSent {
 		if a.eventStream {
-			_ = a.Data([]byte("event: error\ndata: " + string(body) + "\n\n")) // The caller may have disconnected.
+			_ = a.Data([]byte("event: error\ndata: " + string(body) + "\n")) // The caller may have disconnected.
 		}
 		panic(http.ErrAbortHandler)
 	}
 	header := a.w.Header()
 	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	header.Set(headerRequest, a.id)
 	header.Set(headerOutcome, string(err.Outcome()))
 	if err.RetryAfter() > 0 {
@@ -129,7 +133,26 @@
 	}
 	_ = a.extendWriteDeadline() // The caller may have disconnected.
 	a.w.WriteHeader(err.Status())
-	_, _ = a.w.Write(append(body, '\n')) // The caller may have disconnected.
+	_, _ = a.w.Write(body) // The caller may have disconnected.
+	if a.bodyUnread && a.body != nil {
+		a.discardBody()
+	}
+}
+
+const (
+	// maxDiscardedBytes and discardTimeout bound how much of an unread body is read
+	// after an error response, and for how long.
+	maxDiscardedBytes = 64 << 20
+	discardTimeout    = 3 * time.Second
+)
+
+// discardBody sends the response and reads the rest of the request's body. Closing a
+// connection on which the caller still sends would reset it before the caller reads the
+// response.
+func (a *responseWriter) discardBody() {
+	_ = a.control.Flush()                                         // The caller may have disconnected.
+	_ = a.control.SetReadDeadline(time.Now().Add(discardTimeout)) // If unsupported, the server's own deadlines apply.
+	_, _ = io.CopyN(io.Discard, a.body, maxDiscardedBytes)        // The rest is not read.
 }
 
 func (a *responseWriter) errorBody(err *router.Error) []byte { return marshalError(a.id, err) }
--- a/internal/caller/serve.go
+++ b/internal/caller/serve.go
@@ -226,9 +226,11 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(a.w, r.Body, h.cfg.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	if errors.As(err, &tooLarge) {
 		return nil, refusal(router.CodeBodyTooLarge, "the request body exceeds %d bytes", h.cfg.MaxBodyBytes)
+	}
+	a.body = nil // The rest can't be read.
+	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, refusal(router.CodeBadRequest, "the request body was not received within %v", h.cfg.ReadBodyTimeout)
 	case err != nil:
