Shut all listeners of a daemon down at once

What callers saw: connections were closed on requests that a daemon had still accepted as it stopped. Cause: its listeners were shut down one after the other, within one second for all. A caller that did not complete its request at the first used that up, while the others accepted requests and had no time to answer them.

They are shut down together, as those of a site are.

--- a/internal/daemon/listeners_test.go
+++ b/internal/daemon/listeners_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -101,3 +102,30 @@
 	c.Assert(err, qt.IsNil)
 	return string(body)
 }
+
+// TestListenersCloseTogether guards against requests without an answer: they were
+// still accepted at one listener while a caller that does not complete its request at
+// another one used up the time to answer them.
+func TestListenersCloseTogether(t *testing.T) {
+	c := qt.New(t)
+	stuck, h := listen(c, func(http.ResponseWriter, *http.Request) {}), listen(c, func(http.ResponseWriter, *http.Request) {})
+	conn, err := net.Dial("tcp", stuck.address())
+	c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET")
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	var closing sync.WaitGroup
+	closing.Go(func() { (&Daemon{servers: []*httpServer{stuck, h}}).closeServers(ctx) })
+	refused := false
+	for end := time.Now().Add(10 * time.Second); !refused && time.Now().Before(end); {
+		other, err := net.Dial("tcp", h.address())
+		refused = err != nil
+		if err == nil {
+			_ = other.Close()
+		}
+	}
+	c.Check(refused, qt.IsTrue)
+	cancel()
+	closing.Wait()
+}
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"oleanderramp/internal/event"
@@ -57,14 +58,9 @@
 
 // Close stops all components of the daemon and waits for them.
 func (d *Daemon) Close() error {
-	var errs []error
 	ctx, cancel := context.WithTimeout(context.Background(), serverShutdownTimeout)
 	defer cancel()
-	for _, server := range d.servers {
-		if err := server.shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			errs = append(errs, err)
-		}
-	}
+	errs := d.closeServers(ctx)
 	errs = append(errs, closeAll(d.closers())...)
 	if d.client != nil {
 		d.client.Close()
@@ -73,6 +69,17 @@
 	return errors.Join(errs...)
 }
 
+// closeServers shuts the HTTP servers down, at the latest when the context ends.
+func (d *Daemon) closeServers(ctx context.Context) []error {
+	errs := make([]error, len(d.servers))
+	var closing sync.WaitGroup
+	for i, server := range d.servers {
+		closing.Go(func() { errs[i] = server.shutdown(ctx) })
+	}
+	closing.Wait()
+	return errs
+}
+
 // closer is a component of the daemon.
 type closer interface{ Close() error }
 
