Wait for requests that arrive as a daemon drains

What callers saw: at a shutdown, a request whose body took more than a second got neither an answer nor a refusal, although shutdown_timeout_ms was not nearly used up. Cause: Drain waited for the requests known to the router, to which a request comes with its body read. What was on its way had the second of Close.

Drain now waits for the callers' connections too, after the router and within the same timeout; idle ones are closed. The router refuses what still arrives. How long a request may arrive is bounded by read_header_timeout_ms and read_body_timeout_ms.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,8 @@
 
 	peerServer *peer.Server
 	servers    []*httpServer
+	// callers is the server of callers; nil for a daemon without one.
+	callers *httpServer
 }
 
 // New starts a daemon with the roles of its settings. On an error, everything
--- a/internal/daemon/handlers.go
+++ b/internal/daemon/handlers.go
@@ -24,30 +24,33 @@
 		callers := http.NewServeMux()
 		telemetry.Handle(callers, d, d.registry)
 		callers.Handle("/", d.callerHandler())
-		if err := d.listen("callers", d.settings.Listen.Callers, tls.Callers, callers); err != nil {
+		var err error
+		if d.callers, err = d.listen("callers", d.settings.Listen.Callers, tls.Callers, callers); err != nil {
 			return err
 		}
-		if err := d.listen("endpoints", d.settings.Listen.Endpoints, tls.Endpoints, d.endpointHandler()); err != nil {
+		if _, err = d.listen("endpoints", d.settings.Listen.Endpoints, tls.Endpoints, d.endpointHandler()); err != nil {
 			return err
 		}
 	}
 	operators := http.NewServeMux()
 	telemetry.Handle(operators, d, d.registry)
 	operators.Handle("/", d.operatorHandler())
-	return d.listen("operators", d.settings.Listen.Operators, tls.Operators, operators)
+	_, err := d.listen("operators", d.settings.Listen.Operators, tls.Operators, operators)
+	return err
 }
 
-func (d *Daemon) listen(name, address string, pair *settings.KeyPair, handler http.Handler) error {
+// listen opens a listener. It returns nil if the address is empty.
+func (d *Daemon) listen(name, address string, pair *settings.KeyPair, handler http.Handler) (*httpServer, error) {
 	if address == "" {
-		return nil
+		return nil, nil
 	}
 	server, err := newHTTPServer(address, pair, d.settings.Limits, handler)
 	if err != nil {
-		return fmt.Errorf("listen for %s: %w", name, err)
+		return nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
 	d.servers = append(d.servers, server)
 	event.ListenerOpened.Log(d.log, event.Fields{"listener": name, "address": server.address()})
-	return nil
+	return server, nil
 }
 
 func (d *Daemon) callerHandler() http.Handler {
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -51,6 +51,7 @@
 // httpServer is one HTTP listener and its server.
 type httpServer struct {
 	bounded *boundedListener
+	open    *httpserver.Connections
 	server  *httpserver.Server
 }
 
@@ -71,7 +72,7 @@
 		IdleTimeout:       func() time.Duration { return idleTimeout },
 		Overwhelmed:       func() bool { return false },
 	})
-	return &httpServer{bounded: bounded, server: httpserver.New(bounded, open, httpserver.Config{
+	return &httpServer{bounded: bounded, open: open, server: httpserver.New(bounded, open, httpserver.Config{
 		Handler: closeWhileDraining(open, withDeadlines(handler, limits)), TLS: cfg, MaxHeaderBytes: limits.MaxHeaderBytes,
 	})}, nil
 }
--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -12,17 +12,23 @@
 )
 
 // Drain refuses new requests and waits for those in progress until the shutdown
-// timeout has passed or the context ends. It returns how many requests were
+// timeout has passed or the context ends. It returns how many requests are
 // aborted.
 func (d *Daemon) Drain(ctx context.Context) int {
 	event.DaemonDraining.Log(d.log, event.Fields{"host": d.settings.Host})
 	d.members.drain()
 	handoverEnd := time.Now().Add(d.handoverTime())
-	aborted := d.drainRouter(ctx)
+	limited, cancel := context.WithTimeout(ctx, time.Duration(d.settings.Limits.ShutdownTimeoutMS)*time.Millisecond)
+	defer cancel()
+	aborted := d.drainRouter(limited)
 	select {
 	case <-ctx.Done():
 	case <-time.After(time.Until(handoverEnd)):
 	}
+	aborted = max(aborted, d.drainCallers(limited))
+	if aborted > 0 {
+		event.RequestsAborted.Log(d.log, event.Fields{"requests": aborted})
+	}
 	return aborted
 }
 
@@ -37,19 +43,24 @@
 }
 
 // drainRouter makes the router refuse new requests and waits for those in
-// progress. It returns how many requests were aborted.
+// progress. It returns how many remain when the context ends.
 func (d *Daemon) drainRouter(ctx context.Context) int {
 	if d.router == nil {
 		return 0
 	}
-	timeout := time.Duration(d.settings.Limits.ShutdownTimeoutMS) * time.Millisecond
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	aborted := d.router.Drain(ctx)
-	if aborted > 0 {
-		event.RequestsAborted.Log(d.log, event.Fields{"requests": aborted})
+	return d.router.Drain(ctx)
+}
+
+// drainCallers waits for the connections of callers. A request that has begun to
+// arrive is not known to the router, and an answer may not be written yet when the
+// router has done with it. It returns how many requests over HTTP/1 remain when the
+// context ends.
+func (d *Daemon) drainCallers(ctx context.Context) int {
+	if d.callers == nil {
+		return 0
 	}
-	return aborted
+	d.callers.server.Drain(ctx)
+	return d.callers.open.Busy()
 }
 
 // serverShutdownTimeout limits the shutdown of all HTTP servers, which comes
