List a quorum that elects no leader for a learner with the newest log

A former leader had promoted a learner in an entry that was not committed, so that its membership needs that host's vote; the next leader sent an entry to the learner alone and was lost. The learner's log is newer, so it refuses, and as a learner it does not campaign.

--- a/internal/raft/finalfault_test.go
+++ b/internal/raft/finalfault_test.go
@@ -64,9 +64,6 @@
 		return nil
 	}
 	lost := s.unrepaired(current)
-	if len(lost) > tolerated {
-		return nil
-	}
 	for len(lost) < tolerated {
 		if p := s.randomPeer(); !slices.Contains(lost, p) {
 			lost = append(lost, p)
@@ -122,6 +119,9 @@
 			s.change() // Leaders check often whether a change is due.
 		}
 	}
+	if current, _ := s.committedConfiguration(); len(s.unrepaired(current)) > tolerated {
+		return // The schedule itself lost more than is tolerated.
+	}
 	s.losePower(tolerated)
 	s.converge()
 	if s.violation != "" {
@@ -172,3 +172,13 @@
 		qt.Check(t, min(answered, lost) > scheduleCount/3, qt.IsTrue)
 	}
 }
+
+// TestLearnerWithNewestLogDoesNotStopElections guards against a quorum that elects no
+// leader although only one of its hosts is lost: a former leader promoted d in an entry
+// that was not committed; the next leader sent an entry to d alone, as to a learner, and
+// was lost. The former leader needs the vote of d, whose log is newer, and d does not
+// campaign.
+func TestLearnerWithNewestLogDoesNotStopElections(t *testing.T) {
+	const seed = 30385 // Of 40,000 schedules for one tolerated loss.
+	qt.Check(t, runFinalFault(seed, 1).violation, qt.Equals, "")
+}
