--- a/internal/edge/acceptance_test.go
+++ b/internal/edge/acceptance_test.go
@@ -114,7 +114,8 @@
 	const (
 		seconds = 20
 		// minUsed is the least part of the time left beside closing connections that
-		// serving must get.
+		// serving must get: an account whose callers all reach such a router is to get
+		// as much of what the best served gets as the lead of internal/share allows.
 		minUsed = 0.6
 	)
 	for _, offered := range []int{300, 1000, 2000, 4000} {
