Wait for the first request of a connection whose handshake ends at a shutdown

What callers saw: a TLS handshake was completed during a shutdown, and the connection was closed before the request that follows the handshake arrived. Cause: the connection counted as idle from the handshake's end on. Its caller sends the request with or after its last message of the handshake, so it is on its way.

Such a connection now waits half a second for its first request.

--- a/internal/httpserver/acceptedconn.go
+++ b/internal/httpserver/acceptedconn.go
@@ -38,8 +38,10 @@
 	// idleSince is when the latest request ended or the connection was accepted;
 	// zero from the first byte of a request on.
 	idleSince time.Time
-	// first is true until a request has ended.
+	// first is true until a request has ended. grace is how long the first request is
+	// waited for at least.
 	first bool
+	grace time.Duration
 	// waiting is true while Read waits for the first byte of a request.
 	waiting bool
 	// readLast is true if bytes were read since the latest Write. begun is true if
@@ -167,6 +169,9 @@
 	if c.begun && until.Before(header) {
 		return header
 	}
+	if graceEnd := c.idleSince.Add(c.grace); c.first && until.Before(graceEnd) {
+		return graceEnd
+	}
 	return until
 }
 
--- a/internal/httpserver/secureconn.go
+++ b/internal/httpserver/secureconn.go
@@ -7,6 +7,10 @@
 	"time"
 )
 
+// firstRequestGrace is how long a connection whose handshake has ended waits for its
+// first request, even at a shutdown. Callers send it with or after the handshake's end.
+const firstRequestGrace = 500 * time.Millisecond
+
 // secureConn is an accepted connection above TLS, after its handshake.
 type secureConn struct {
 	*acceptedConn
@@ -20,7 +24,7 @@
 	if !ok {
 		return secure
 	}
-	accepted := &acceptedConn{Conn: secure, socket: socket, partial: below.read.partial, limit: limit, idleSince: now, first: true}
+	accepted := &acceptedConn{Conn: secure, socket: socket, partial: below.read.partial, limit: limit, idleSince: now, first: true, grace: firstRequestGrace}
 	return &secureConn{acceptedConn: accepted, secure: secure}
 }
 
