--- a/internal/edge/acceptance_test.go
+++ b/internal/edge/acceptance_test.go
@@ -114,8 +114,8 @@
 	const (
 		seconds = 20
 		// minUsed is the least part of the time left beside closing connections that
-		// serving must get: an account whose callers all reach such a router is to get
-		// as much of what the best served gets as the lead of internal/share allows.
+		// serving must get: an account is to get half of what the best served gets, also
+		// if its callers all reach such a router, and a fifth more for safety.
 		minUsed = 0.6
 	)
 	for _, offered := range []int{300, 1000, 2000, 4000} {
