--- a/internal/httpserver/idle_test.go
+++ b/internal/httpserver/idle_test.go
@@ -203,3 +203,23 @@
 	_, err := accepted.Read(b[:])
 	c.Check(err, qt.IsNil)
 }
+
+// TestIdleTimeoutDuringPipelinedHeader guards against a request without an answer: its
+// header began in the same segment as the end of the request before it, so that the
+// server had read that part when the idle time began, and the rest arrived after the idle
+// timeout.
+func TestIdleTimeoutDuringPipelinedHeader(t *testing.T) {
+	const request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nsecond"
+	c := qt.New(t)
+	for _, part := range []string{"P", "POST / HT", "POST / HTTP/1.1\r\nHost: h\r\n"} {
+		address, _ := testServer(c, 0, testIdleTimeout, echo)
+		conn := dialServer(c, address)
+		_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nfirst%s", part)
+		c.Assert(err, qt.IsNil)
+		readEcho(c, conn, "first")
+		time.Sleep(2 * testIdleTimeout)
+		_, err = io.WriteString(conn, strings.TrimPrefix(request, part))
+		c.Assert(err, qt.IsNil)
+		readEcho(c, conn, "second")
+	}
+}
