--- a/internal/site/disconnect.go
+++ b/internal/httpserver/socket.go
@@ -1,4 +1,4 @@
-package site
+package httpserver
 
 import (
 	"context"
@@ -14,16 +14,16 @@
 
 // withConn returns the context for the requests of a connection.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	if accepted, ok := conn.(*acceptedConn); ok {
+	if accepted, ok := tracked(conn); ok {
 		ctx = edge.WithConnection(ctx, accepted)
 	}
 	return context.WithValue(ctx, connKey{}, conn)
 }
 
-// callerDisconnected reports whether the caller of a request has closed its
+// CallerDisconnected reports whether the caller of a request has closed its
 // connection. It checks the socket, as the server may not have noticed the
 // close yet.
-func callerDisconnected(ctx context.Context) bool {
+func CallerDisconnected(ctx context.Context) bool {
 	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
 	if !ok {
 		return false
