Log what became of the requests of accounts that a router refuses

Once a second each router of a site now logs these sums, in tokens, for the three accounts of which it refuses most, with their share, their pace, its lag and the fraction of connections that it accepts (event 422).

--- a/internal/edge/acceptance_test.go
+++ b/internal/edge/acceptance_test.go
@@ -146,7 +146,7 @@
 	flood := func() *task {
 		return &task{account: "flood", request: &Request{Prompt: balance.Prompt{Tokens: tokens}}}
 	}
-	admission.recordShed(now, "flood", 10_000) // It floods from the beginning.
+	admission.recordShed(now, "flood", 10_000, 1) // It floods from the beginning.
 	read := 0
 	for range offered {
 		if f.AcceptsConnection(now) {
--- a/internal/edge/accountshare.go
+++ b/internal/edge/accountshare.go
@@ -37,16 +37,20 @@
 	return c.ledger.Share(now, account, c.capacity)
 }
 
-// recordShed counts tokens that an account has requested and that an overloaded
-// router refuses.
-func (c *AdmissionController) recordShed(now time.Time, account string, tokens float64) {
+// recordShed counts the tokens of a request that an overloaded router refuses, which
+// accepts the fraction of new connections: the request stands for those closed unread.
+func (c *AdmissionController) recordShed(now time.Time, account string, tokens, accepted float64) {
 	if tokens == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.RecordAsked(now, account, tokens)
-	c.ledger.RecordShed(now, account, tokens)
+	c.ledger.RecordAsked(now, account, tokens/accepted)
+	c.ledger.RecordShed(now, account, tokens/accepted)
+	t := c.tally(account)
+	t.asked += tokens / accepted
+	t.unread += tokens/accepted - tokens
+	t.shed += tokens
 }
 
 // checkShare counts the request and reports whether it is within its account's
@@ -57,6 +61,7 @@
 	}
 	if !request.begun {
 		c.ledger.RecordAsked(now, request.account, request.tokens)
+		c.tally(request.account).asked += request.tokens
 	}
 	s := c.ledger.Share(now, request.account, c.capacity)
 	if c.isShort(request.tokens) {
--- a/internal/edge/admission.go
+++ b/internal/edge/admission.go
@@ -61,6 +61,8 @@
 	// averageTokens is the moving average of the tokens charged per request.
 	averageTokens float64
 	waiting       []*waitingRequest
+	// tallies holds what became of each account's requests since they were last logged.
+	tallies map[string]*accountTally
 	// lag returns how long work waits for this daemon; nil for none.
 	lag func() time.Duration
 }
@@ -68,7 +70,7 @@
 // NewAdmissionController returns a controller for a router in the region. The
 // shares are counted over the window.
 func NewAdmissionController(region string, window time.Duration) *AdmissionController {
-	return &AdmissionController{balancer: balance.New(region), ledger: share.New(window)}
+	return &AdmissionController{balancer: balance.New(region), ledger: share.New(window), tallies: make(map[string]*accountTally)}
 }
 
 // Update replaces the endpoints and the routing table.
@@ -152,6 +154,7 @@
 	}
 	if request.tokens > 0 && !request.begun {
 		c.ledger.RecordAdmitted(now, request.account, request.tokens)
+		c.tally(request.account).admitted += request.tokens
 	}
 	return placement{
 		choice: choice, withinShare: within,
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -189,6 +189,9 @@
 	// It is never below Level.
 	SpareLevel float64
 	Use
+	// Pace is the rate at which this router may admit towards Level, in tokens per second;
+	// +Inf if it is not bounded.
+	Pace float64
 	// levelOpen and spareOpen report whether this router's part of the level and of
 	// the spare level allows another request at present.
 	levelOpen, spareOpen bool
@@ -235,7 +238,8 @@
 	own := h.use(account)
 	s.Use = s.Add(own)
 	here := l.part(now, h, own, s.Use)
-	h.level.fill(now, paceRate(s.Level, s.Admitted, here, l.window))
+	s.Pace = paceRate(s.Level, s.Admitted, here, l.window)
+	h.level.fill(now, s.Pace)
 	h.spare.fill(now, paceRate(s.SpareLevel, s.Admitted, here, l.window))
 	s.levelOpen, s.spareOpen = h.level.open(), h.spare.open()
 	return s
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -36,6 +36,8 @@
 	// othersSyncPeriod is the interval between calls to the other control
 	// hosts, of which each call goes to the next.
 	othersSyncPeriod = 250 * time.Millisecond
+	// accountLogPeriod is how often a router logs whose requests it refuses most.
+	accountLogPeriod = time.Second
 	// versionsPeriod is how often the software versions of the endpoints are recorded
 	// while none changes.
 	versionsPeriod = 10 * time.Second
@@ -190,6 +192,9 @@
 		runPeriodically(ctx, primarySyncPeriod, r.syncPrimary)
 	})
 	r.done.Go(func() { runPeriodically(ctx, othersSyncPeriod, r.othersSyncer()) })
+	r.done.Go(func() {
+		runPeriodically(ctx, accountLogPeriod, func(context.Context) { r.forwarder.LogAccounts(time.Now()) })
+	})
 	return r
 }
 
