Log how many connections a router of a site accepts and closes unread

What an overloaded router closes unread was estimated from the requests that it reads. No decision changes.

--- a/internal/edge/acceptance.go
+++ b/internal/edge/acceptance.go
@@ -31,6 +31,8 @@
 	// due is the number of connections to accept, which grows by the fraction with each
 	// that arrives.
 	due float64
+	// accepted and closed count the connections since the last call of takeCounts.
+	accepted, closed int
 }
 
 // recordShed records that a request was read and shed.
@@ -61,12 +63,31 @@
 	a.recover(now)
 	a.due += math.Exp(a.exponent)
 	if a.due < 1 {
+		a.closed++
 		return false
 	}
 	a.due--
+	a.accepted++
 	return true
 }
 
+// recordClosed records that a connection is closed unread whatever the fraction.
+func (a *acceptance) recordClosed() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed++
+}
+
+// takeCounts returns how many connections were accepted and closed unread since the last
+// call.
+func (a *acceptance) takeCounts() (accepted, closed int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	accepted, closed = a.accepted, a.closed
+	a.accepted, a.closed = 0, 0
+	return accepted, closed
+}
+
 // fraction returns the accepted fraction.
 func (a *acceptance) fraction(now time.Time) float64 {
 	a.mu.Lock()
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -107,7 +107,11 @@
 // AcceptsConnection reports whether to accept the next connection. While this daemon sheds
 // requests, it closes a part of the connections unread, and while Overwhelmed all.
 func (f *Forwarder) AcceptsConnection(now time.Time) bool {
-	return !f.Overwhelmed() && f.acceptance.next(now)
+	if f.Overwhelmed() {
+		f.acceptance.recordClosed()
+		return false
+	}
+	return f.acceptance.next(now)
 }
 
 // Overloaded reports whether this daemon is refusing most of its requests.
