Refuse announcements that can't be those of an endpoint

What callers saw: one odd report among those of the endpoints stops a whole site. With an id that is not UTF-8 no control host can encode its answer to any router, nor the file of saved endpoints, from then on; with the id of a sound endpoint, and a start or a sequence number as large as the field allows, all later reports of that endpoint count as older.

Cause: an announcement was checked for its service, address and state alone. Every other text and number went into the list that all routers read, also from the call of an endpoint that leaves, from other daemons and from the file of an earlier start.

Such a report is answered 400, and one from a daemon of the former version or a saved file is left out; event 412 says why.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,31 +26,6 @@
 	renewalPeriod = 20 * time.Second
 )
 
-// Entry is the latest announcement of an endpoint.
-type Entry struct {
-	ID      string
-	Service string
-	// Address is "IP:port".
-	Address string
-	Zone    string
-	Region  string
-	// Started is when the endpoint started, by its own clock; zero if unknown.
-	Started time.Time
-	// Sequence increases with each announcement since the endpoint started.
-	Sequence uint64
-	// Software is the version of the endpoint's software; "" if unknown.
-	Software string
-	// Slots is how many requests the endpoint runs concurrently.
-	Slots int
-	// Leaving endpoints get no new work. An endpoint that is leaving stays so
-	// until it restarts.
-	Leaving bool
-	// LastSeen is when the announcement was received, by the receiver's clock.
-	LastSeen time.Time
-	// RateLimit is what the endpoint last stated to a router, not in announcements.
-	RateLimit RateLimit
-}
-
 // Directory holds the endpoints of a site. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*record
@@ -166,22 +141,6 @@
 	return change
 }
 
-// describesOther reports whether the endpoint is to be used in another way than by
-// held.
-func (e Entry) describesOther(held Entry) bool {
-	return e.Address != held.Address || e.Slots != held.Slots || e.Service != held.Service || e.Zone != held.Zone ||
-		e.Software != held.Software
-}
-
-// isRestartOf reports whether e is from a later start of the endpoint than
-// held.
-func (e Entry) isRestartOf(held Entry) bool {
-	if e.Started.IsZero() && held.Started.IsZero() {
-		return e.Sequence < held.Sequence && e.LastSeen.Sub(held.LastSeen) >= minRestartSilence
-	}
-	return e.Started.After(held.Started)
-}
-
 func (d *Directory) store(e Entry, direct bool, change Change) {
 	d.revision++
 	r := &record{Entry: e, revision: d.revision, changed: d.revision, propagatedAt: e.LastSeen, direct: direct}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -127,22 +128,29 @@
 func (c *control) drain() { c.draining.Store(true) }
 
 // Announce records an endpoint's announcement.
-func (c *control) Announce(now time.Time, entry directory.Entry) directory.Change {
+func (c *control) Announce(now time.Time, entry directory.Entry) (directory.Change, error) {
 	entry.LastSeen, entry.Region = now, c.settings.RegionOf(entry.Zone)
+	if err := entry.Validate(); err != nil {
+		return directory.Stale, fmt.Errorf("announcement: %w", err)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	change := c.directory.Announce(entry)
 	logEndpointChange(c.log, change, entry, "announcement")
-	return change
+	return change, nil
 }
 
 // Leave records that an endpoint leaves.
-func (c *control) Leave(now time.Time, id string, started time.Time) directory.Change {
+func (c *control) Leave(now time.Time, id string, started time.Time) (directory.Change, error) {
+	entry := directory.Entry{ID: id, Started: started, Leaving: true, LastSeen: now}
+	if err := entry.Validate(); err != nil {
+		return directory.Stale, fmt.Errorf("departure: %w", err)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	change := c.directory.Leave(now, id, started)
 	logEndpointChange(c.log, change, directory.Entry{ID: id}, "announcement")
-	return change
+	return change, nil
 }
 
 // Close stops the replica and waits for it.
--- a/internal/site/convert.go
+++ b/internal/site/convert.go
@@ -7,10 +7,13 @@
 	"io"
 	"time"
 
+	"github.com/apex/log"
+
 	"oleanderramp/internal/balance"
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/discovery"
 	"oleanderramp/internal/edge"
+	"oleanderramp/internal/event"
 	"oleanderramp/internal/prefixes"
 	"oleanderramp/internal/quarantine"
 	"oleanderramp/internal/ratelimit"
@@ -109,6 +112,21 @@
 	return entry
 }
 
+// entriesFromWire returns the valid entries of the list, which another daemon has sent or
+// an earlier one has saved, and logs the others. source names where they come from.
+func entriesFromWire(l log.Interface, now time.Time, list []*wire.EndpointEntry, source string) []directory.Entry {
+	entries := make([]directory.Entry, 0, len(list))
+	for _, e := range list {
+		entry := entryFromWire(now, e)
+		if err := entry.Validate(); err != nil {
+			event.AnnouncementRefused.Log(l, event.Fields{"endpoint": fmt.Sprintf("%.64s", entry.ID), "error": err.Error(), "remote": source})
+			continue
+		}
+		entries = append(entries, entry)
+	}
+	return entries
+}
+
 // rateLimitToWire returns nil for an endpoint that has stated nothing.
 func rateLimitToWire(now time.Time, l directory.RateLimit) *wire.RateLimit {
 	if l.StatedAt.IsZero() {
--- a/internal/site/endpointsfile.go
+++ b/internal/site/endpointsfile.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"time"
 
+	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"oleanderramp/internal/directory"
@@ -64,7 +65,7 @@
 
 // loadEndpoints returns the recently saved endpoints, and none if there is no
 // file.
-func loadEndpoints(folder string, now time.Time) ([]directory.Entry, error) {
+func loadEndpoints(l log.Interface, folder string, now time.Time) ([]directory.Entry, error) {
 	data, err := os.ReadFile(filepath.Join(folder, endpointsFileName))
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
@@ -84,8 +85,7 @@
 	// that jumps later.
 	savedAt := now.Add(-age)
 	var entries []directory.Entry
-	for _, e := range saved.GetEndpoints() {
-		entry := entryFromWire(savedAt, e)
+	for _, entry := range entriesFromWire(l, savedAt, saved.GetEndpoints(), endpointsFileName) {
 		if now.Sub(entry.LastSeen) < savedEndpointTTL {
 			// The start and the sequence number are restored too, so that a
 			// later announcement of the same start is merged as newer.
@@ -97,7 +97,7 @@
 
 // restoreEndpoints restores the directory saved before a restart.
 func (c *control) restoreEndpoints() {
-	entries, err := loadEndpoints(c.settings.DataFolder, time.Now())
+	entries, err := loadEndpoints(c.log, c.settings.DataFolder, time.Now())
 	if err != nil {
 		event.EndpointsFileFailed.Log(c.log, event.Fields{"error": err.Error()})
 		return
--- a/internal/site/endpointsfile_test.go
+++ b/internal/site/endpointsfile_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 
 	"oleanderramp/internal/directory"
@@ -13,9 +15,10 @@
 
 func TestSaveAndLoadEndpoints(t *testing.T) {
 	c := qt.New(t)
+	quiet := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
 	folder := c.TempDir()
 	now := time.UnixMilli(1_700_000_000_000)
-	got, err := loadEndpoints(folder, now)
+	got, err := loadEndpoints(quiet, folder, now)
 	c.Assert(err, qt.IsNil)
 	c.Check(got, qt.HasLen, 0)
 
@@ -25,14 +28,14 @@
 		{ID: "silent", Service: "s", Address: "1.2.3.4:7", Sequence: 1, LastSeen: now.Add(-9 * time.Second)},
 	}
 	c.Assert(saveEndpoints(folder, now, entries), qt.IsNil)
-	got, err = loadEndpoints(folder, now.Add(2*time.Second))
+	got, err = loadEndpoints(quiet, folder, now.Add(2*time.Second))
 	c.Assert(err, qt.IsNil)
 	c.Check(got, qt.DeepEquals, entries[:2])
-	got, err = loadEndpoints(folder, now.Add(10*time.Second))
+	got, err = loadEndpoints(quiet, folder, now.Add(10*time.Second))
 	c.Assert(err, qt.IsNil)
 	c.Check(got, qt.HasLen, 0)
 
 	c.Assert(os.WriteFile(filepath.Join(folder, endpointsFileName), []byte{0xff}, 0o600), qt.IsNil)
-	_, err = loadEndpoints(folder, now)
+	_, err = loadEndpoints(quiet, folder, now)
 	c.Check(err, qt.IsNotNil)
 }
--- a/internal/site/exchange.go
+++ b/internal/site/exchange.go
@@ -252,8 +252,7 @@
 		return
 	}
 	recordContact(c.log, c.hosts, now, response.GetResponder(), response.GetHosts())
-	for _, e := range response.GetEndpoints() {
-		entry := entryFromWire(now, e)
+	for _, entry := range entriesFromWire(c.log, now, response.GetEndpoints(), address) {
 		logEndpointChange(c.log, c.directory.Merge(entry), entry, address)
 	}
 	c.cursors[address] = syncCursor{
--- a/internal/site/routerupdate.go
+++ b/internal/site/routerupdate.go
@@ -68,8 +68,7 @@
 // reports whether any has changed, and returns those that have only announced
 // themselves again. The caller holds r.mu.
 func (r *router) mergeEndpoints(now time.Time, host string, endpoints []*wire.EndpointEntry) (changed bool, renewed []directory.Entry) {
-	for _, e := range endpoints {
-		entry := entryFromWire(now, e)
+	for _, entry := range entriesFromWire(r.log, now, endpoints, host) {
 		change := r.directory.Merge(entry)
 		logEndpointChange(r.log, change, entry, host)
 		switch change {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -50,11 +50,12 @@
 // Control serves the calls of endpoints and operators at a control host.
 type Control interface {
 	// Announce records an endpoint's announcement. The region of the endpoint
-	// is derived from its zone.
-	Announce(now time.Time, entry directory.Entry) directory.Change
+	// is derived from its zone. It returns an error, and records nothing, if a field
+	// can't be that of an endpoint.
+	Announce(now time.Time, entry directory.Entry) (directory.Change, error)
 	// Leave records that an endpoint leaves. started is the time of its start,
-	// and may be zero.
-	Leave(now time.Time, id string, started time.Time) directory.Change
+	// and may be zero. The error is as that of Announce.
+	Leave(now time.Time, id string, started time.Time) (directory.Change, error)
 	// Replace puts a valid routing table in force. It returns once the table
 	// would survive the tolerated losses. The error may wrap ErrUnconfirmed.
 	Replace(ctx context.Context, version uint64, document []byte) error
