Ignore what an endpoint states in the answer to another request

What callers saw: an endpoint that writes an earlier refusal once more on a kept connection gets no requests for the time that the refusal asked for, or for good if the refusal said that it leaves. (A caller is not told 'not run' for it: such an answer ends the call as one that may have run.)

Cause: the notice of an answer (it leaves, Retry-After, rate limit) was taken before the id of the answer was compared with that of the request.

Evidence: TestNoticeOfAnotherAnswerIsIgnored failed before, with both headers: the second request did not reach the endpoint. TestRefusedRequestIsNotSentThereAgain passed before: a refusal with the same id can't be one that was written once more, since a request is never sent again to an endpoint that has refused or failed it. It guards that.

--- a/internal/edge/notice_test.go
+++ b/internal/edge/notice_test.go
@@ -136,3 +136,40 @@
 		})
 	}
 }
+
+// earlierRefusal answers with the refusal of another request.
+func earlierRefusal(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Oleanderramp-Request-Id", "earlier")
+	notRun(w, r)
+}
+
+// TestNoticeOfAnotherAnswerIsIgnored guards against an endpoint that gets no requests for
+// as long as an earlier refusal asked for, because it has written that refusal once more.
+func TestNoticeOfAnotherAnswerIsIgnored(t *testing.T) {
+	for _, notice := range []struct{ name, value string }{{"Retry-After", "60"}, {"Server-Leaving", "1"}} {
+		t.Run(notice.name, func(t *testing.T) {
+			c := qt.New(t)
+			confused := newEndpoint(c, withHeader(notice.name, notice.value, earlierRefusal))
+			s := newSite(c, confused)
+			for range 2 {
+				response, _, _ := s.ask(c, "POST", "/unsafe/", "x", nil)
+				c.Check(response.StatusCode, qt.Equals, http.StatusBadGateway) // It may have run.
+			}
+			c.Check(confused.seen(), qt.HasLen, 2)
+		})
+	}
+}
+
+// TestRefusedRequestIsNotSentThereAgain guards against a refusal that an endpoint writes
+// once more on a kept connection and that belongs to the same request, which runs by then.
+func TestRefusedRequestIsNotSentThereAgain(t *testing.T) {
+	for _, path := range []string{"/safe/", "/unsafe/", "/stream/", "/resumable/"} {
+		t.Run(path, func(t *testing.T) {
+			c := qt.New(t)
+			first, second := newEndpoint(c, notRun), newEndpoint(c, notRun)
+			response, _, _ := newSite(c, first, second).ask(c, "POST", path, "x", map[string]string{"Oleanderramp-Key": "secret"})
+			c.Check(response.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			c.Check(len(first.seen()) <= 1 && len(second.seen()) <= 1, qt.IsTrue, qt.Commentf("%d and %d times", len(first.seen()), len(second.seen())))
+		})
+	}
+}
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -23,11 +23,10 @@
 // to the sink.
 func (a *attempt) receive(config ClientConfig, response *http.Response) *CallError {
 	a.result.Status = response.StatusCode
-	idErr := a.checkRequestID(response.Header)
-	a.passNotice(response, idErr == nil)
-	if idErr != nil {
-		return idErr
+	if err := a.checkRequestID(response.Header); err != nil {
+		return err
 	}
+	a.passNotice(response)
 	if response.StatusCode < http.StatusOK {
 		return a.newError(WrongAnswer, fmt.Errorf("status %d is not a final response", response.StatusCode))
 	}
@@ -54,14 +53,14 @@
 	}
 }
 
-// passNotice passes on what the endpoint states about itself. matches reports whether
-// the response has the id of the request.
-func (a *attempt) passNotice(response *http.Response, matches bool) {
+// passNotice passes on what the endpoint states about itself in the response to the
+// request. What it states in any other may be long past.
+func (a *attempt) passNotice(response *http.Response) {
 	if a.call.OnNotice == nil {
 		return
 	}
 	notice := a.headers.notice(response.StatusCode, response.Header)
-	notice.Answer = matches && response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusBadRequest
+	notice.Answer = response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusBadRequest
 	a.call.OnNotice(notice)
 }
 
