Remember the software version that an endpoint had before it restarted

What callers saw: all routers are killed at once; a stream that broke off is taken up, answered 200 and runs to its end, but its beginning is from one software version and the rest from another, if the endpoint that began it has restarted with another version under the same id.

Cause: routers tell control hosts where streams began only while a service has several versions. A router that starts anew takes a stream that nobody knows for one of the only version that the service has had, and it knew versions from the directory alone, which has one entry for an id.

The directory now remembers the version of an entry that is replaced for as long as entries themselves, and control hosts tell it routers and each other, as a group of streams without streams: daemons of the former version read it as none.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -29,6 +29,8 @@
 // Directory holds the endpoints of a site. It is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*record
+	// former holds the versions of entries that were replaced.
+	former map[Version]formerVersion
 	// revision increases with each change of an entry.
 	revision uint64
 }
@@ -66,7 +68,7 @@
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{entries: make(map[string]*record)}
+	return &Directory{entries: make(map[string]*record), former: make(map[Version]formerVersion)}
 }
 
 // Change is the effect of an announcement.
@@ -144,8 +146,11 @@
 func (d *Directory) store(e Entry, direct bool, change Change) {
 	d.revision++
 	r := &record{Entry: e, revision: d.revision, changed: d.revision, propagatedAt: e.LastSeen, direct: direct}
-	if held, ok := d.entries[e.ID]; ok && change == Renewed && e.LastSeen.Sub(held.propagatedAt) < renewalPeriod {
-		r.changed, r.propagatedAt = held.changed, held.propagatedAt
+	if held, ok := d.entries[e.ID]; ok {
+		d.recordReplaced(e.LastSeen, held.Entry, e)
+		if change == Renewed && e.LastSeen.Sub(held.propagatedAt) < renewalPeriod {
+			r.changed, r.propagatedAt = held.changed, held.propagatedAt
+		}
 	}
 	d.entries[e.ID] = r
 }
@@ -176,6 +181,7 @@
 			delete(d.entries, id)
 		}
 	}
+	d.removeExpiredVersions(now)
 }
 
 // Revision returns the revision of the last change.
--- a/internal/site/exchange.go
+++ b/internal/site/exchange.go
@@ -114,9 +114,12 @@
 	response.CacheRevision, response.Cached = c.cached.Revision(), cachedToWire(now, parts)
 }
 
-// addStreams adds the streams that another control host lacks. The caller holds c.mu.
+// addStreams adds the streams that another control host lacks, and the former software
+// versions of endpoints: those that this host has seen itself to another one, and all to a
+// router. The caller holds c.mu.
 func (c *control) addStreams(now time.Time, request *wire.SyncRequest, response *wire.SyncResponse) {
 	if request.GetControl() == nil {
+		response.Streams = versionsToWire(c.directory.Former(now, false))
 		return
 	}
 	since := request.GetStreamRevision()
@@ -125,6 +128,7 @@
 	}
 	list, revision := c.streams.Since(now, since, maxSyncedStreams)
 	response.Streams, response.StreamRevision = streamsToWire(list), revision
+	response.Streams = append(response.Streams, versionsToWire(c.directory.Former(now, true))...)
 }
 
 // firstChoicePeriod is how long the endpoints that a region's routers choose first
@@ -262,6 +266,7 @@
 	for _, s := range streamsFromWire(response.GetStreams()) {
 		c.streams.Merge(now, s)
 	}
+	addFormerVersions(now, c.directory, response.GetStreams())
 	for _, e := range cachedFromWire(now, response.GetCached()) {
 		c.cached.Merge(now, e)
 	}
--- a/internal/site/resume_test.go
+++ b/internal/site/resume_test.go
@@ -126,3 +126,56 @@
 		c.Check(body, qt.Equals, "id: 4\ndata: x\n\nid: 5\ndata: x\n\nid: 6\ndata: x\n\n")
 	}
 }
+
+// TestStreamIsNotJoinedAfterAllRoutersAreKilled guards against streams that are taken up
+// at another software version than theirs, because the routers that forwarded them have
+// all been killed and their endpoints left, or came back with the other version.
+func TestStreamIsNotJoinedAfterAllRoutersAreKilled(t *testing.T) {
+	const begun = "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+	tests := []struct {
+		name string
+		// replace brings the new version in, and may end the old one.
+		replace func(s *testSite, former, next *httptest.Server)
+	}{
+		{"both versions serve", func(s *testSite, _, next *httptest.Server) {
+			s.announceSoftware(0, "next", "v2", "ready", 1, next)
+		}},
+		{"the former version has left", func(s *testSite, former, next *httptest.Server) {
+			s.announceSoftware(0, "next", "v2", "ready", 1, next)
+			s.announceSoftware(1, "endpoint", "v1", "draining", 3, former)
+			status, _ := call("POST", s.address(2, 1), "/Instances.Deregister/endpoint", "", `{"born":1}`, nil)
+			s.c.Assert(status, qt.Equals, http.StatusOK)
+		}},
+		{"the endpoint restarts with the new version", func(s *testSite, _, next *httptest.Server) {
+			body := fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","version":"v2","slots":4,"state":"ready","sequence":1,"born":2}`, next.Listener.Addr())
+			status, _ := call("POST", s.address(0, 1), "/Instances.Heartbeat/endpoint", "", body, nil)
+			s.c.Assert(status, qt.Equals, http.StatusOK)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := newTestSite(c, 3)
+			s.replace(0, streamRoute)
+			former, next := streamEndpoint(c, 1, 3, false), streamEndpoint(c, 4, 6, true)
+			s.announceSoftware(0, "endpoint", "v1", "ready", 2, former)
+			s.eventually("the stream begins", func() bool {
+				status, body := s.stream(map[string]string{"Oleanderramp-Request-Id": "first"})
+				return status == http.StatusOK && body == begun
+			})
+			c.Assert(s.router.daemon.Close(), qt.IsNil)
+			test.replace(s, former, next)
+			s.run(s.router)
+
+			s.eventually("the router serves new streams", func() bool {
+				status, _ := s.stream(map[string]string{"Oleanderramp-Request-Id": "new"})
+				return status == http.StatusOK
+			})
+			for range 10 {
+				status, body := s.stream(map[string]string{"Oleanderramp-Request-Id": "again", "Resumes": "first", "Last-Event-Id": "3"})
+				c.Check(status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%q", body))
+			}
+		})
+	}
+}
--- a/internal/site/routerupdate.go
+++ b/internal/site/routerupdate.go
@@ -17,7 +17,9 @@
 	newTable := r.adoptTable(response, host)
 	r.mu.Lock()
 	recordContact(r.log, r.hosts, now, response.GetResponder(), response.GetHosts())
+	formerVersions := addFormerVersions(now, r.directory, response.GetStreams())
 	changed, renewed := r.mergeEndpoints(now, host, response.GetEndpoints())
+	r.updateVersions(now, changed || formerVersions)
 	if r.newestVersion <= r.RoutingVersion() {
 		r.newerSince = now
 	}
@@ -80,11 +82,16 @@
 		}
 	}
 	r.directory.RemoveExpired(now)
+	return changed, renewed
+}
+
+// updateVersions records the software versions of the endpoints if any has changed, and
+// otherwise every versionsPeriod. The caller holds r.mu.
+func (r *router) updateVersions(now time.Time, changed bool) {
 	if changed || now.Sub(r.versionsAt) >= versionsPeriod {
 		r.versionsAt = now
-		r.forwarder.UpdateVersions(now, softwareVersions(r.directory))
+		r.forwarder.UpdateVersions(now, softwareVersions(now, r.directory))
 	}
-	return changed, renewed
 }
 
 // adoptTable puts the routing table of the response in force if it is newer,
--- a/internal/site/streams.go
+++ b/internal/site/streams.go
@@ -50,15 +50,35 @@
 	return list
 }
 
-// softwareVersions returns the service and the software version of each endpoint in the
-// directory, also of those that are leaving or were not heard of lately.
-func softwareVersions(d *directory.Directory) []streams.Origin {
-	var origins []streams.Origin
-	for _, e := range d.Since(0, directory.All) {
-		if e.Service != "" {
-			origins = append(origins, streams.Origin{Service: e.Service, Software: e.Software})
+// versionsToWire returns groups without streams, which say that the versions were in
+// service.
+func versionsToWire(list []directory.Version) []*wire.StreamGroup {
+	groups := make([]*wire.StreamGroup, len(list))
+	for i, v := range list {
+		groups[i] = &wire.StreamGroup{Service: v.Service, Software: v.Software}
+	}
+	return groups
+}
+
+// addFormerVersions adds the versions of the groups without streams to the directory. It
+// reports whether any is news.
+func addFormerVersions(now time.Time, d *directory.Directory, groups []*wire.StreamGroup) bool {
+	news := false
+	for _, group := range groups {
+		if len(group.GetKeys()) == 0 && d.AddFormer(now, directory.Version{Service: group.GetService(), Software: group.GetSoftware()}) {
+			news = true
 		}
 	}
+	return news
+}
+
+// softwareVersions returns the service and the software version of each endpoint that may
+// have begun a stream.
+func softwareVersions(now time.Time, d *directory.Directory) []streams.Origin {
+	var origins []streams.Origin
+	for _, v := range d.Versions(now) {
+		origins = append(origins, streams.Origin{Service: v.Service, Software: v.Software})
+	}
 	return origins
 }
 
