Count rejected connections as asked for by their number

What callers saw: an account that floods a router counts as asking for six times what it asks, or for next to nothing while the router rejects all.

Cause: a request that was read and shed stood for 1/f others, f being the fraction of new connections that are accepted. Callers send many requests on each connection that is accepted, and each of these stood for as many; while all connections were rejected, nothing was read that could stand for them.

Now the rejected connections are counted, and the next request that is shed stands for them. TestRejectedConnectionsCountAsAsked, which replaces TestClosedConnectionsCountAsAsked and contains it as its first case, failed before in the other two: 0.39 and 14.92 of what is asked for.

--- a/internal/edge/acceptance.go
+++ b/internal/edge/acceptance.go
@@ -33,6 +33,8 @@
 	due float64
 	// accepted and closed count the connections since the last call of takeCounts.
 	accepted, closed int
+	// unread counts the connections closed since the last call of takeUnread.
+	unread int
 }
 
 // recordShed records that a request was read and shed.
@@ -63,7 +65,7 @@
 	a.recover(now)
 	a.due += math.Exp(a.exponent)
 	if a.due < 1 {
-		a.closed++
+		a.recordClosedLocked()
 		return false
 	}
 	a.due--
@@ -75,7 +77,21 @@
 func (a *acceptance) recordClosed() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.recordClosedLocked()
+}
+
+func (a *acceptance) recordClosedLocked() {
 	a.closed++
+	a.unread++
+}
+
+// takeUnread returns how many connections were closed unread since the last call.
+func (a *acceptance) takeUnread() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	unread := a.unread
+	a.unread = 0
+	return unread
 }
 
 // takeCounts returns how many connections were accepted and closed unread since the last
--- a/internal/edge/acceptance_test.go
+++ b/internal/edge/acceptance_test.go
@@ -130,33 +130,58 @@
 	}
 }
 
-// TestClosedConnectionsCountAsAsked guards against an account that floods a router and
-// counts as one that asks for little, since the router closes most of its connections
-// unread: other accounts then get what it lacks to its share.
-func TestClosedConnectionsCountAsAsked(t *testing.T) {
+// TestRejectedConnectionsCountAsAsked guards against an account that floods a router and
+// counts as one that asks for little, since the router rejects most of its connections
+// unread (other accounts then get what it lacks to its share), or for many times what it
+// asks, as it sends many requests on each connection that is accepted.
+func TestRejectedConnectionsCountAsAsked(t *testing.T) {
 	const (
 		offered, tokens = 5000, 1000
 		// tolerance is the part by which the estimate may be off.
 		tolerance = 0.2
 	)
-	c := qt.New(t)
-	now := time.Now()
-	admission := newTestAdmission(c, 4, 1000)
-	f := New(Config{Admission: admission, Lag: func() time.Duration { return shedAllLag - 1 }, UnsyncedFor: func() time.Duration { return 0 }})
-	flood := func() *task {
-		return &task{account: "flood", request: &Request{Prompt: balance.Prompt{Tokens: tokens}}}
+	tests := []struct {
+		name string
+		// overwhelmed is how many of a hundred connections come while the router rejects
+		// all, and perConnection how many requests come on each that is accepted.
+		overwhelmed, perConnection int
+	}{
+		{"a request a connection", 0, 1},
+		{"overwhelmed at times", 60, 1},
+		{"many requests a connection", 0, 20},
 	}
-	admission.recordShed(now, "flood", 10_000, 1) // It floods from the beginning.
-	read := 0
-	for range offered {
-		if f.AcceptsConnection(now) {
-			read++
-			c.Assert(f.rejectEarly(now, flood(), true), qt.IsNotNil)
-		}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Now()
+			admission := newTestAdmission(c, 4, 1000)
+			lag := shedAllLag - 1
+			f := New(Config{Admission: admission, Lag: func() time.Duration { return lag }, UnsyncedFor: func() time.Duration { return 0 }})
+			flood := func() *task {
+				return &task{account: "flood", request: &Request{Prompt: balance.Prompt{Tokens: tokens}}}
+			}
+			admission.recordShed(now, "flood", 10_000, 0) // It floods from the beginning.
+			requests, read := 0, 0
+			for n := range offered {
+				lag = shedAllLag - 1
+				if n%100 < test.overwhelmed {
+					lag = shedAllLag
+				}
+				if !f.AcceptsConnection(now) {
+					requests++
+					continue
+				}
+				for range test.perConnection {
+					requests++
+					read++
+					c.Assert(f.rejectEarly(now, flood(), true), qt.IsNotNil)
+				}
+			}
+			c.Check(read < requests/2, qt.IsTrue, qt.Commentf("%d of %d requests are read", read, requests))
+			got := admission.share(now, "flood")
+			part := got.Asked / float64(requests*tokens)
+			c.Check(part > 1-tolerance && part < 1+tolerance, qt.IsTrue, qt.Commentf("%.2f of the tokens count as asked for", part))
+			c.Check(got.Shed, qt.Equals, got.Asked)
+		})
 	}
-	c.Check(read < offered/4, qt.IsTrue, qt.Commentf("%d of %d requests are read", read, offered))
-	got := admission.share(now, "flood")
-	part := got.Asked / (offered * tokens)
-	c.Check(part > 1-tolerance && part < 1+tolerance, qt.IsTrue, qt.Commentf("%.2f of the tokens count as asked for", part))
-	c.Check(got.Shed, qt.Equals, got.Asked)
 }
--- a/internal/edge/accountshare.go
+++ b/internal/edge/accountshare.go
@@ -37,19 +37,20 @@
 	return c.ledger.Share(now, account, c.capacity, 0)
 }
 
-// recordShed counts the tokens of a request that an overloaded router refuses, which
-// accepts the fraction of new connections: the request stands for those closed unread.
-func (c *AdmissionController) recordShed(now time.Time, account string, tokens, accepted float64) {
+// recordShed counts the tokens of a request that an overloaded router refuses. The request
+// stands for as many others whose connections were rejected unread.
+func (c *AdmissionController) recordShed(now time.Time, account string, tokens float64, unread int) {
 	if tokens == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ledger.RecordAsked(now, account, tokens/accepted)
-	c.ledger.RecordShed(now, account, tokens/accepted)
+	unreadTokens := tokens * float64(unread)
+	c.ledger.RecordAsked(now, account, tokens+unreadTokens)
+	c.ledger.RecordShed(now, account, tokens+unreadTokens)
 	t := c.tally(account)
-	t.asked += tokens / accepted
-	t.unread += tokens/accepted - tokens
+	t.asked += tokens + unreadTokens
+	t.unread += unreadTokens
 	t.shed += tokens
 }
 
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -39,7 +39,7 @@
 	}
 	t.overload = reason
 	if resolved {
-		f.cfg.Admission.recordShed(now, t.account, t.tokens(), f.acceptance.fraction(now))
+		f.cfg.Admission.recordShed(now, t.account, t.tokens(), f.acceptance.takeUnread())
 	}
 	f.acceptance.recordShed(now)
 	return overloadedFailure()
