Fail the readiness check while most new connections are rejected

Cause: a router was ready unless its lag was long at the moment of the check. A router that rejects most connections keeps its lag short, and misses no two checks in a row, after which the platform would send its callers elsewhere.

Now it is not ready while it accepts less than half of new connections. That fraction rises within a few seconds without callers, so that a router comes back by itself. The connections that callers keep to each router they have come to go on being served. TestRouterThatRejectsMostConnectionsIsNotReady failed before.

--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -118,8 +118,15 @@
 	return f.acceptance.next(now)
 }
 
-// Overloaded reports whether this daemon is refusing most of its requests.
-func (f *Forwarder) Overloaded() bool { return f.lag() >= (shedStartLag+shedAllLag)/2 }
+// minReadyFraction is the accepted fraction of new connections below which a daemon is not
+// ready for any: other daemons can serve those that it would reject.
+const minReadyFraction = 0.5
+
+// Overloaded reports whether this daemon is refusing most of its requests, or rejecting
+// most of the connections that callers open.
+func (f *Forwarder) Overloaded(now time.Time) bool {
+	return f.lag() >= (shedStartLag+shedAllLag)/2 || f.acceptance.fraction(now) < minReadyFraction
+}
 
 // shed reports whether to refuse a request at the given lag. Requests with
 // shedFirst set are all refused before any other is. random is uniform in
--- a/internal/edge/shed_test.go
+++ b/internal/edge/shed_test.go
@@ -98,7 +98,7 @@
 		StandingLag: func() time.Duration { return standing },
 	})
 	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadLag)
-	c.Check(f.Overloaded(), qt.IsTrue)
+	c.Check(f.Overloaded(time.Now()), qt.IsTrue)
 	c.Check(f.Overwhelmed(), qt.IsTrue)
 	standing = 0
 	c.Check(f.overloaded(time.Now(), &task{account: "a"}, true), qt.Equals, overloadReason(""))
@@ -116,3 +116,32 @@
 		c.Check(f.Overwhelmed(), qt.Equals, shed(lag, false, highest), qt.Commentf("%v", lag))
 	}
 }
+
+// TestRouterThatRejectsMostConnectionsIsNotReady guards against a router that gets all
+// callers of a flood, of which it can serve a small part, while others have time for them:
+// its lag is short again and again, as it rejects most of them.
+func TestRouterThatRejectsMostConnectionsIsNotReady(t *testing.T) {
+	c := qt.New(t)
+	f := New(Config{Lag: func() time.Duration { return 0 }, UnsyncedFor: func() time.Duration { return 0 }})
+	now := time.Unix(1_000_000, 0)
+	rejects := func(now time.Time) float64 {
+		const connections = 1000
+		rejected := 0
+		for range connections {
+			if !f.AcceptsConnection(now) {
+				rejected++
+			}
+		}
+		return float64(rejected) / connections
+	}
+	c.Check(f.Overloaded(now), qt.IsFalse)
+	for range 100 {
+		f.acceptance.recordShed(now)
+	}
+	c.Assert(rejects(now) > 0.5, qt.IsTrue)
+	c.Check(f.Overloaded(now), qt.IsTrue)
+	// Without further callers it is ready soon, when it would reject few of them.
+	now = now.Add(3 * time.Second)
+	c.Assert(rejects(now) < 0.5, qt.IsTrue)
+	c.Check(f.Overloaded(now), qt.IsFalse)
+}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -212,7 +212,7 @@
 		return "no routing table is known yet"
 	case r.conns.NearlyFull():
 		return "too many connections are open"
-	case r.forwarder.Overloaded():
+	case r.forwarder.Overloaded(time.Now()):
 		return "the daemon is overloaded"
 	default:
 		return ""
