Let a learner with the newest log be elected if no voter can be

Cause: a former leader had promoted d in an entry that was not committed, so that it needs the vote of d. The next leader, whose log has no such entry, sent one more entry to d alone and was lost. The log of d is newer than that of any voter: d refuses its vote, and as a learner did not campaign.

Now a learner campaigns for the votes of the voters that its log names once four election deadlines in a row have passed without a leader, so that any voter that can be elected comes first. It counts in no majority, needs the newest log of one like any candidate, and as a leader that is no voter it steps down when its log is committed; by then the voters have it. Pre-votes are refused, as before, by all who have heard of a leader lately.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -30,11 +30,16 @@
 	}
 }
 
+// learnerPatience is the number of election deadlines that pass without a leader before a
+// learner campaigns: any voter that can be elected is to come first.
+const learnerPatience = 3
+
 // startPreVote asks the voters whether they would grant their vote, without
 // starting a new term.
 func (n *Node) startPreVote(now time.Time) {
 	n.resetElectionDeadline(now)
 	n.leader = Member{}
+	n.deadlinesMissed++
 	if !n.canCampaign() {
 		return
 	}
@@ -49,11 +54,16 @@
 
 // canCampaign reports whether the node is a voter, or remains one until the
 // change that removes it is committed. It may be the only one that holds that
-// change.
+// change. A learner campaigns if no leader is elected for long: it may hold a newer log
+// than any voter, and then refuses its vote to one that needs it. It is elected by the
+// voters alone, and steps down once its log is committed.
 func (n *Node) canCampaign() bool {
 	if n.configuration.IsVoter(n.cfg.Self) {
 		return true
 	}
+	if n.configuration.IsLearner(n.cfg.Self) && n.deadlinesMissed > learnerPatience {
+		return true
+	}
 	if n.configurationIndex <= n.log.commit {
 		return false
 	}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -73,6 +73,8 @@
 
 	// electionDeadline is when a node that isn't the leader starts an election.
 	electionDeadline time.Time
+	// deadlinesMissed is how many of them have passed since a leader was heard.
+	deadlinesMissed int
 	// leaderContact is when the last message from the leader arrived.
 	leaderContact time.Time
 	// granted holds the members that granted their vote in the current election.
@@ -291,6 +293,6 @@
 		n.becomeFollower(now, n.term, leader)
 	}
 	n.leader = leader
-	n.leaderContact = now
+	n.leaderContact, n.deadlinesMissed = now, 0
 	n.resetElectionDeadline(now)
 }
