Reject connections while too many are waiting to be read

Cause: a flood shows in the lag only after 200 ms, since the lag is the least of that time. Until then a router with a fifth of a core accepts hundreds of connections that it needs seconds to read, and later ones wait in its queue.

Evidence: in the model of a flooded router work waits for 2.4 and 4.3 s at 4,000 and 8,000 connections a second (TestFloodThatBeginsDoesNotFillTheQueue failed before).

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -70,7 +70,7 @@
 		Soft:              math.MaxInt, // The listener refuses what is beyond its limit.
 		ReadHeaderTimeout: time.Duration(limits.ReadHeaderTimeoutMS) * time.Millisecond,
 		IdleTimeout:       func() time.Duration { return idleTimeout },
-		Overloaded:        func() bool { return false },
+		Overloaded:        func(time.Time, int) bool { return false },
 	})
 	return &httpServer{bounded: bounded, open: open, server: httpserver.New(bounded, open, httpserver.Config{
 		Handler: closeWhileDraining(open, withDeadlines(handler, limits)), TLS: cfg, MaxHeaderBytes: limits.MaxHeaderBytes,
--- a/internal/edge/acceptance_test.go
+++ b/internal/edge/acceptance_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -14,9 +15,11 @@
 type routerModel struct {
 	forwarder *Forwarder
 	// accepts reports whether to accept the next connection.
-	accepts func(now time.Time) bool
+	accepts func(now time.Time, unread int) bool
 	// offered is the number of connections per second, each with one request.
 	offered int
+	// lagDelay is how long ago the lag was that the router knows.
+	lagDelay time.Duration
 
 	// queue holds the work in the order in which it arrived. waits is what new work
 	// waits, for each step.
@@ -41,20 +44,20 @@
 	modelCloseTime = 15 * time.Microsecond
 	modelReadTime  = 300 * time.Microsecond
 	modelServeTime = 1200 * time.Microsecond
-	// modelLagDelay is how long ago the lag was that the router knows.
+	// modelLagDelay is the usual lagDelay.
 	modelLagDelay = 100 * time.Millisecond
 )
 
 func newRouterModel(offered int) *routerModel {
-	m := &routerModel{offered: offered}
+	m := &routerModel{offered: offered, lagDelay: modelLagDelay}
 	m.forwarder = New(Config{Lag: m.lag, UnsyncedFor: func() time.Duration { return 0 }})
 	m.accepts = m.forwarder.AcceptsConnection
 	return m
 }
 
-// lag returns what work waited modelLagDelay ago.
+// lag returns what work waited lagDelay ago.
 func (m *routerModel) lag() time.Duration {
-	known := len(m.waits) - 1 - int(modelLagDelay/modelStep)
+	known := len(m.waits) - 1 - int(m.lagDelay/modelStep)
 	if known < 0 {
 		return 0
 	}
@@ -78,8 +81,19 @@
 	}
 }
 
+// unread returns the number of accepted connections from which nothing was read yet.
+func (m *routerModel) unread() int {
+	unread := 0
+	for _, w := range m.queue {
+		if w.read {
+			unread++
+		}
+	}
+	return unread
+}
+
 func (m *routerModel) arrive(now time.Time) {
-	if m.accepts(now) {
+	if m.accepts(now, m.unread()) {
 		m.queue = append(m.queue, modelWork{left: modelReadTime, read: true})
 		return
 	}
@@ -130,6 +144,22 @@
 	}
 }
 
+// TestFloodThatBeginsDoesNotFillTheQueue guards against a router that accepts all
+// connections of a flood until its lag shows it, and then has more requests to read than
+// it can in the time for which callers wait.
+func TestFloodThatBeginsDoesNotFillTheQueue(t *testing.T) {
+	// maxWait is how long a caller waits for a daemon that does not read its request.
+	const maxWait = time.Second
+	for _, offered := range []int{1000, 4000, 8000} {
+		c := qt.New(t)
+		m := newRouterModel(offered)
+		m.lagDelay = 300 * time.Millisecond // The lag is the least of a while, measured again and again.
+		m.run(time.Unix(1_000_000, 0), 2*time.Second)
+		longest := slices.Max(m.waits)
+		c.Check(longest < maxWait, qt.IsTrue, qt.Commentf("%d connections per second: work waits for %v", offered, longest))
+	}
+}
+
 // TestRejectedConnectionsCountAsAsked guards against an account that floods a router and
 // counts as one that asks for little, since the router rejects most of its connections
 // unread (other accounts then get what it lacks to its share), or for many times what it
@@ -167,7 +197,7 @@
 				if n%100 < test.overwhelmed {
 					lag = shedAllLag
 				}
-				if !f.AcceptsConnection(now) {
+				if !f.AcceptsConnection(now, 0) {
 					requests++
 					continue
 				}
--- a/internal/edge/shed_test.go
+++ b/internal/edge/shed_test.go
@@ -128,7 +128,7 @@
 		const connections = 1000
 		rejected := 0
 		for range connections {
-			if !f.AcceptsConnection(now) {
+			if !f.AcceptsConnection(now, 0) {
 				rejected++
 			}
 		}
--- a/internal/httpserver/acceptedconn.go
+++ b/internal/httpserver/acceptedconn.go
@@ -32,6 +32,8 @@
 	// the reader may call it.
 	partial func() bool
 	limit   idleLimit
+	// fresh marks the connection until a request is read; nil for one that is not marked.
+	fresh *freshMark
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -65,6 +67,15 @@
 	return &acceptedConn{Conn: conn, socket: socket, limit: limit, idleSince: now, first: true}
 }
 
+// newConn returns a connection that was just accepted.
+func (c *Connections) newConn(now time.Time, conn net.Conn) net.Conn {
+	wrapped := newAcceptedConn(now, conn, c)
+	if accepted, ok := wrapped.(*acceptedConn); ok {
+		accepted.fresh = c.fresh.add(now)
+	}
+	return wrapped
+}
+
 // SyscallConn returns the socket.
 func (c *acceptedConn) SyscallConn() (syscall.RawConn, error) { return c.socket.SyscallConn() }
 
--- a/internal/httpserver/connections.go
+++ b/internal/httpserver/connections.go
@@ -34,8 +34,9 @@
 	// configured.
 	IdleTimeout func() time.Duration
 	// Overloaded reports whether there is no processor time to serve the request of
-	// the next connection, which is then rejected. It is asked once for each.
-	Overloaded func() bool
+	// the next connection, which is then rejected. It is asked once for each. fresh is the
+	// number of connections that were accepted lately and from which nothing was read yet.
+	Overloaded func(now time.Time, fresh int) bool
 }
 
 // Connections tracks the open connections of a server and limits how long they
@@ -45,6 +46,7 @@
 	limits Limits
 	// rejected counts the connections that were rejected.
 	rejected atomic.Int64
+	fresh    freshConns
 	// closing is true once idle connections are closed without delay.
 	closing atomic.Bool
 
@@ -88,6 +90,9 @@
 	if !ok {
 		return
 	}
+	if state != http.StateNew && accepted.fresh != nil {
+		c.fresh.end(accepted.fresh)
+	}
 	switch state {
 	case http.StateIdle:
 		accepted.setIdle(time.Now())
--- a/internal/httpserver/drain_test.go
+++ b/internal/httpserver/drain_test.go
@@ -43,7 +43,7 @@
 func testLimits(idleTimeout time.Duration) Limits {
 	return Limits{
 		Soft: 100, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: func() time.Duration { return idleTimeout },
-		Overloaded: func() bool { return false },
+		Overloaded: func(time.Time, int) bool { return false },
 	}
 }
 
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -32,7 +32,7 @@
 			return nil, err
 		}
 		if accept || !l.rejects() {
-			return newAcceptedConn(time.Now(), conn, l.open), nil
+			return l.open.newConn(time.Now(), conn), nil
 		}
 		l.open.rejected.Add(1)
 		l.reject(conn)
@@ -51,4 +51,7 @@
 }
 
 // rejects reports whether the next connection is rejected.
-func (l *boundedListener) rejects() bool { return l.open.full() || l.open.limits.Overloaded() }
+func (l *boundedListener) rejects() bool {
+	now := time.Now()
+	return l.open.full() || l.open.limits.Overloaded(now, l.open.fresh.len(now))
+}
--- a/internal/httpserver/refuser_test.go
+++ b/internal/httpserver/refuser_test.go
@@ -60,7 +60,7 @@
 	c := qt.New(t)
 	var served atomic.Int64
 	limits := testLimits(time.Hour)
-	limits.Overloaded, limits.Refusal = func() bool { return true }, []byte(answer)
+	limits.Overloaded, limits.Refusal = func(time.Time, int) bool { return true }, []byte(answer)
 	s := serveAny(c, nil, limits, func(http.ResponseWriter, *http.Request) { served.Add(1) })
 	for _, test := range requestForms() {
 		for _, at := range []int{0, 10, len(test.request) - 2} {
@@ -91,7 +91,7 @@
 func TestRequestThatNeverArrivesIsNotWaitedForLong(t *testing.T) {
 	c := qt.New(t)
 	limits := testLimits(time.Hour)
-	limits.Overloaded, limits.Refusal = func() bool { return true }, []byte("answer")
+	limits.Overloaded, limits.Refusal = func(time.Time, int) bool { return true }, []byte("answer")
 	s := serveAny(c, nil, limits, func(http.ResponseWriter, *http.Request) {})
 	conns := make([]net.Conn, maxIncomplete+10)
 	for i := range conns {
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -16,7 +16,8 @@
 // newConnections returns connections with the limits.
 func newConnections(soft, hard int, idleTimeout func() time.Duration, overloaded func() bool) *Connections {
 	return NewConnections(Limits{
-		Soft: soft, Hard: hard, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout, Overloaded: overloaded,
+		Soft: soft, Hard: hard, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: idleTimeout,
+		Overloaded: func(time.Time, int) bool { return overloaded() },
 	})
 }
 
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -176,7 +176,7 @@
 			}
 			return 0
 		},
-		Overloaded: func() bool { return !r.forwarder.AcceptsConnection(time.Now()) },
+		Overloaded: func(now time.Time, fresh int) bool { return !r.forwarder.AcceptsConnection(now, fresh) },
 		Refusal:    edge.OverloadedResponse(),
 	})
 	r.forwarder = edge.New(edge.Config{
--- a/internal/site/server.go
+++ b/internal/site/server.go
@@ -46,6 +46,6 @@
 func (d *Daemon) internalConnections() *httpserver.Connections {
 	return httpserver.NewConnections(httpserver.Limits{
 		Soft: d.settings.MaxConnections, ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout: func() time.Duration { return 0 }, Overloaded: func() bool { return false },
+		IdleTimeout: func() time.Duration { return 0 }, Overloaded: func(time.Time, int) bool { return false },
 	})
 }
