--- /dev/null
+++ b/internal/share/ledger.go
@@ -0,0 +1,170 @@
+package share
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// buckets is the number of buckets that the sliding window is divided into.
+const buckets = 8
+
+// Ledger tracks how many tokens each account asks for and how many are admitted,
+// at this router and at the others. It is not safe for concurrent use.
+type Ledger struct {
+	window time.Duration
+	// startedAt is the first time that was recorded, from which buckets are
+	// counted: the time of day may jump, elapsed time does not.
+	startedAt time.Time
+	own       map[string]*history
+	others    map[string]Use
+	// totals holds the use of each account at all routers as of totalsAt. level
+	// is the fair level computed from it for levelCapacity.
+	totals        map[string]Use
+	totalsAt      time.Time
+	level         float64
+	levelCapacity float64
+	// askedRise and offeredRise show tokens asked for, and of these offered, that have not
+	// yet added up over the window.
+	askedRise, offeredRise rise
+}
+
+// totalsMaxAge is how long the totals and the level computed from them are
+// reused. The level depends on all accounts, so it is not computed for each
+// request.
+const totalsMaxAge = 20 * time.Millisecond
+
+// history holds the use of one account, in one bucket for each part of the
+// window.
+type history struct {
+	asked, admitted, shed [buckets]float64
+	// last is the number of the newest bucket.
+	last int64
+}
+
+// New returns an empty ledger with a sliding window.
+func New(window time.Duration) *Ledger {
+	return &Ledger{window: window, own: make(map[string]*history), others: make(map[string]Use)}
+}
+
+func (l *Ledger) bucket(now time.Time) int64 {
+	if l.startedAt.IsZero() {
+		l.startedAt = now
+	}
+	return int64(now.Sub(l.startedAt) / (l.window / buckets))
+}
+
+// advance empties the buckets that have left the window.
+func (h *history) advance(bucket int64) {
+	if bucket-h.last >= buckets {
+		*h = history{last: bucket}
+		return
+	}
+	for h.last < bucket {
+		h.last++
+		h.asked[h.last%buckets], h.admitted[h.last%buckets], h.shed[h.last%buckets] = 0, 0, 0
+	}
+}
+
+func (l *Ledger) history(now time.Time, account string) *history {
+	h, ok := l.own[account]
+	if !ok {
+		h = &history{last: l.bucket(now)}
+		l.own[account] = h
+	}
+	h.advance(l.bucket(now))
+	return h
+}
+
+// RecordAsked adds tokens that the account asks for.
+func (l *Ledger) RecordAsked(now time.Time, account string, tokens float64) {
+	h := l.history(now, account)
+	h.asked[h.last%buckets] += tokens
+}
+
+// RecordShed adds tokens that the account asked for and that this router refused
+// because it is overloaded.
+func (l *Ledger) RecordShed(now time.Time, account string, tokens float64) {
+	h := l.history(now, account)
+	h.shed[h.last%buckets] += tokens
+}
+
+// RecordAdmitted adds tokens of a request that was admitted for the account.
+func (l *Ledger) RecordAdmitted(now time.Time, account string, tokens float64) {
+	h := l.history(now, account)
+	h.admitted[h.last%buckets] += tokens
+}
+
+// OwnUse returns the use at this router, ordered by account, without accounts
+// that had none within the window.
+func (l *Ledger) OwnUse(now time.Time) []Use {
+	var uses []Use
+	for account := range l.own {
+		h := l.history(now, account)
+		u := h.use(account)
+		if u.Asked == 0 && u.Admitted == 0 {
+			delete(l.own, account)
+			continue
+		}
+		uses = append(uses, u)
+	}
+	slices.SortFunc(uses, func(a, b Use) int { return cmp.Compare(a.Account, b.Account) })
+	return uses
+}
+
+// use returns the sums within the window.
+func (h *history) use(account string) Use {
+	return Use{Account: account, Asked: sum(h.asked), Admitted: sum(h.admitted), Shed: sum(h.shed)}
+}
+
+func sum(values [buckets]float64) float64 {
+	total := 0.0
+	for _, v := range values {
+		total += v
+	}
+	return total
+}
+
+// SetOtherUse replaces the use at all other routers.
+func (l *Ledger) SetOtherUse(uses []Use) {
+	clear(l.others)
+	for _, u := range uses {
+		l.others[u.Account] = u
+	}
+	l.totals = nil
+}
+
+// Share returns the account's share of the capacity, which is the number of
+// tokens that all engines can process within the window. draw is a random number in
+// [0, 1) of the request that the share is for.
+func (l *Ledger) Share(now time.Time, account string, capacity, draw float64) Share {
+	if l.totals == nil || now.Sub(l.totalsAt) >= totalsMaxAge || capacity != l.levelCapacity {
+		l.updateTotals(now, capacity)
+	}
+	s := Share{Level: l.level, SpareLevel: spareLevel(l.totals, account, l.level), Use: l.others[account]}
+	s.Account = account
+	s.Use = s.Add(l.history(now, account).use(account))
+	offered := l.offeredRise.perWindow(now, account, s.offered(), l.window)
+	s.Chance = chance(s.Level, s.Admitted, offered, l.window)
+	s.levelOpen, s.spareOpen = draw < s.Chance, draw < chance(s.SpareLevel, s.Admitted, offered, l.window)
+	return s
+}
+
+// updateTotals sums the use of each account over all routers and computes the
+// fair level.
+func (l *Ledger) updateTotals(now time.Time, capacity float64) {
+	l.totals, l.totalsAt, l.levelCapacity = make(map[string]Use, len(l.others)+len(l.own)), now, capacity
+	for name, u := range l.others {
+		l.totals[name] = u
+	}
+	for _, u := range l.OwnUse(now) {
+		l.totals[u.Account] = u.Add(l.totals[u.Account])
+	}
+	l.askedRise.advance(now, l.totals, func(u Use) float64 { return u.Asked })
+	l.offeredRise.advance(now, l.totals, Use.offered)
+	asked := make([]float64, 0, len(l.totals))
+	for _, u := range l.totals {
+		asked = append(asked, l.askedRise.perWindow(now, u.Account, u.Asked, l.window))
+	}
+	l.level = fairLevel(asked, capacity)
+}
