Let a retry budget of less than one retry add up to one

What callers saw: nothing yet. TestBudgetOfLessThanOneRetryAddsUp failed before.

Now requests add to such a budget up to one retry. What all routers spend in a window stays below a tenth of the requests and one retry for each router.

--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -31,7 +31,9 @@
 	// BudgetFraction is the number of retries that each request adds to its
 	// account's budget.
 	BudgetFraction float64
-	// BudgetBurst is the maximum budget of an account, in retries.
+	// BudgetBurst is the maximum budget of an account, in retries, with which it starts. If
+	// it is below 1, requests may add to it up to one retry: many daemons that divide a
+	// budget may have less than one each.
 	BudgetBurst float64
 	// MaxAccounts bounds the number of accounts with a recorded budget.
 	MaxAccounts int
@@ -110,8 +112,8 @@
 // not safe for concurrent use.
 type Policy struct {
 	config Config
-	// budgets holds the retries that each account has left, from 0 to
-	// config.BudgetBurst. An account without an entry has the full burst.
+	// budgets holds the retries that each account has left, from 0 to maxBudget. An account
+	// without an entry has config.BudgetBurst.
 	budgets map[string]float64
 }
 
@@ -127,18 +129,21 @@
 
 // add adds retries to the account's budget.
 func (p *Policy) add(account string, retries float64) {
-	budget, limited := p.budgets[account]
-	if !limited {
+	_, limited := p.budgets[account]
+	if !limited && (p.config.BudgetBurst >= 1 || len(p.budgets) >= p.config.MaxAccounts) {
 		return
 	}
-	budget += retries
-	if budget >= p.config.BudgetBurst {
+	budget := p.Budget(account) + retries
+	if p.config.BudgetBurst >= 1 && budget >= p.config.BudgetBurst {
 		delete(p.budgets, account)
 		return
 	}
-	p.budgets[account] = budget
+	p.budgets[account] = min(budget, p.maxBudget())
 }
 
+// maxBudget returns the maximum budget of an account.
+func (p *Policy) maxBudget() float64 { return max(p.config.BudgetBurst, 1) }
+
 // Budget returns the account's budget, in retries.
 func (p *Policy) Budget(account string) float64 {
 	if budget, limited := p.budgets[account]; limited {
@@ -151,7 +156,7 @@
 func (p *Policy) SetBudget(fraction, burst float64) {
 	p.config.BudgetFraction, p.config.BudgetBurst = fraction, burst
 	for account, budget := range p.budgets {
-		if budget >= burst {
+		if budget >= p.maxBudget() {
 			delete(p.budgets, account)
 		}
 	}
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -75,6 +75,28 @@
 	qt.Check(t, p.Decide(start, attempt).Retry, qt.IsTrue)
 }
 
+// TestBudgetOfLessThanOneRetryAddsUp guards against a fleet of so many daemons that the part
+// of each of the fleet's budget is less than one retry, and none ever retries.
+func TestBudgetOfLessThanOneRetryAddsUp(t *testing.T) {
+	const requests, fraction, burst = 100, 0.125, 0.5
+	p := newPolicy(retry.Config{BudgetFraction: fraction, BudgetBurst: burst})
+	qt.Check(t, p.Spend("a"), qt.IsFalse)
+	retries := 0
+	for range requests {
+		p.RecordRequest("a")
+		if p.Spend("a") {
+			retries++
+		}
+	}
+	qt.Check(t, retries, qt.Equals, 13) // A retry for each eight requests, and the half.
+	// What is not used adds up to one retry and no more.
+	for range requests {
+		p.RecordRequest("a")
+	}
+	qt.Check(t, p.Spend("a"), qt.IsTrue)
+	qt.Check(t, p.Spend("a"), qt.IsFalse)
+}
+
 func TestRetryOfUnexecutedRequestIsFree(t *testing.T) {
 	p := newPolicy(retry.Config{BudgetBurst: 1})
 	for range 10 {
