--- a/internal/httpserver/rejected.go
+++ b/internal/httpserver/rejected.go
@@ -60,7 +60,7 @@
 	return err
 }
 
-func (c acceptedSocket) close() { _ = c.Conn.Close() }
+func (c acceptedSocket) close() { _ = c.Close() }
 
 // rejectQueued takes the connections out of the listener's queue for as long as more
 // returns true, passes them to reject, and returns their number.
