--- a/internal/httpserver/wholerequest.go
+++ b/internal/httpserver/wholerequest.go
@@ -8,7 +8,7 @@
 
 // maxRefusedHeaderBytes is the largest header of a request that is refused without
 // net/http.
-const maxRefusedHeaderBytes = 64 << 10
+const maxRefusedHeaderBytes = 16 << 10
 
 var (
 	headerEnd = []byte("\r\n\r\n")
