Send callers of an overloaded router on at once

Answers stay what they are: not run. The cost of a rejected connection without the pause is that of accepting it.

--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -10,8 +10,10 @@
 
 const (
 	// drainingRetryAfter is the Retry-After time of a daemon that is shutting
-	// down or overloaded. It is short because another daemon takes the request.
-	drainingRetryAfter = 50 * time.Millisecond
+	// down, overloadedRetryAfter that of one that is overloaded. They are short because
+	// another daemon takes the request.
+	drainingRetryAfter   = 50 * time.Millisecond
+	overloadedRetryAfter = 10 * time.Millisecond
 	// shedStartLag is the lag above which requests are shed, and shedAllLag the
 	// lag at which all are: new connections are then rejected, as to look into requests
 	// only to refuse them takes processor time from those in progress.
@@ -50,7 +52,7 @@
 }
 
 func overloadedFailure() *failure {
-	return &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: drainingRetryAfter, message: "the daemon is overloaded"}
+	return &failure{status: 503, outcome: OutcomeNotRun, code: CodeOverloaded, retryAfter: overloadedRetryAfter, message: "the daemon is overloaded"}
 }
 
 // overloadReason is what showed that a daemon is overloaded, as logged.
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -14,10 +14,6 @@
 	refuser *refuser
 }
 
-// rejectPause is how long connections gather in the listener's queue after some were
-// rejected: to accept the first of them takes several times the time of any other.
-const rejectPause = 5 * time.Millisecond
-
 // Accept returns the next connection that is not rejected.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	// accept is set once the next connection is to be accepted. Each is decided on once.
@@ -36,7 +32,6 @@
 		}
 		l.open.rejected.Add(1)
 		l.reject(conn)
-		time.Sleep(rejectPause)
 		l.open.rejected.Add(rejectQueued(l.Listener, rejectNext, func(queued rejectedConn) { l.refuser.refuse(time.Now(), queued) }))
 	}
 }
