Decide about connections only when they are there

What callers saw: nothing; the lines of event 422 and the tokens that an account counts as asking for were up to twice too high on a router that rejects connections which come one by one. Cause: after a rejection the listener was asked about the next connection before it was known that one is in the queue. TestNothingIsDecidedWithoutConnection failed before: 40 decisions about 20 connections.

--- a/internal/httpserver/queued.go
+++ b/internal/httpserver/queued.go
@@ -41,9 +41,13 @@
 	if err != nil {
 		return false // The listener is closed.
 	}
-	ready := 0
-	err = raw.Control(func(fd uintptr) {
-		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // On an error nothing is ready.
-	})
-	return err == nil && ready > 0
+	ready := false
+	err = raw.Control(func(fd uintptr) { ready = readable(fd) })
+	return err == nil && ready
+}
+
+// readable reports whether a connection can be accepted from a listener's socket.
+func readable(fd uintptr) bool {
+	ready, _ := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0) // On an error nothing is ready.
+	return ready > 0
 }
--- a/internal/httpserver/rejected.go
+++ b/internal/httpserver/rejected.go
@@ -63,7 +63,7 @@
 func (c acceptedSocket) close() { _ = c.Close() }
 
 // rejectQueued takes the connections out of the listener's queue for as long as more
-// returns true, passes them to reject, and returns their number.
+// returns true, which is asked once for each, passes them to reject, and returns their number.
 func rejectQueued(listener net.Listener, more func() bool, reject func(rejectedConn)) int64 {
 	conn, ok := listener.(syscall.Conn)
 	if !ok {
@@ -75,10 +75,10 @@
 	}
 	rejected := int64(0)
 	_ = raw.Control(func(fd uintptr) {
-		for more() {
+		for readable(fd) && more() {
 			queued, _, err := syscall.Accept4(int(fd), syscall.SOCK_CLOEXEC)
 			if err != nil {
-				return // The queue is empty, or Accept reports the error.
+				return // Accept reports the error.
 			}
 			reject(descriptorConn(queued))
 			rejected++
--- a/internal/httpserver/rejected_test.go
+++ b/internal/httpserver/rejected_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,5 +90,26 @@
 		defer conn.Close()
 	}
 	c.Check(open.rejected.Load(), qt.Equals, int64(callers-callers/acceptedOf))
+	c.Check(asked, qt.Equals, callers)
 	c.Assert(inner.Close(), qt.IsNil)
 }
+
+// TestNothingIsDecidedWithoutConnection guards against a listener that decides about a
+// connection that is not there: it counts as rejected, and as asked for by an account.
+func TestNothingIsDecidedWithoutConnection(t *testing.T) {
+	const callers = 20
+	c := qt.New(t)
+	var asked atomic.Int64
+	limits := testLimits(time.Hour)
+	limits.Overloaded = func(time.Time, int) bool {
+		asked.Add(1)
+		return true
+	}
+	s := serveAny(c, nil, limits, func(http.ResponseWriter, *http.Request) {})
+	for range callers {
+		_, err := dialServer(c, s.Address()).Read(make([]byte, 1))
+		c.Assert(err, qt.Equals, io.EOF)
+	}
+	c.Assert(s.Close(), qt.IsNil)
+	c.Check(asked.Load(), qt.Equals, int64(callers))
+}
