--- a/internal/edge/acceptance.go
+++ b/internal/edge/acceptance.go
@@ -31,9 +31,9 @@
 	// due is the number of connections to accept, which grows by the fraction with each
 	// that arrives.
 	due float64
-	// accepted and closed count the connections since the last call of takeCounts.
-	accepted, closed int
-	// unread counts the connections closed since the last call of takeUnread.
+	// accepted and rejected count the connections since the last call of takeCounts.
+	accepted, rejected int
+	// unread counts the connections rejected since the last call of takeUnread.
 	unread int
 }
 
@@ -65,7 +65,7 @@
 	a.recover(now)
 	a.due += math.Exp(a.exponent)
 	if a.due < 1 {
-		a.recordClosedLocked()
+		a.recordRejectedLocked()
 		return false
 	}
 	a.due--
@@ -73,19 +73,19 @@
 	return true
 }
 
-// recordClosed records that a connection is closed unread whatever the fraction.
-func (a *acceptance) recordClosed() {
+// recordRejected records that a connection is rejected whatever the fraction.
+func (a *acceptance) recordRejected() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.recordClosedLocked()
+	a.recordRejectedLocked()
 }
 
-func (a *acceptance) recordClosedLocked() {
-	a.closed++
+func (a *acceptance) recordRejectedLocked() {
+	a.rejected++
 	a.unread++
 }
 
-// takeUnread returns how many connections were closed unread since the last call.
+// takeUnread returns how many connections were rejected since the last call.
 func (a *acceptance) takeUnread() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -94,14 +94,13 @@
 	return unread
 }
 
-// takeCounts returns how many connections were accepted and closed unread since the last
-// call.
-func (a *acceptance) takeCounts() (accepted, closed int) {
+// takeCounts returns how many connections were accepted and rejected since the last call.
+func (a *acceptance) takeCounts() (accepted, rejected int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	accepted, closed = a.accepted, a.closed
-	a.accepted, a.closed = 0, 0
-	return accepted, closed
+	accepted, rejected = a.accepted, a.rejected
+	a.accepted, a.rejected = 0, 0
+	return accepted, rejected
 }
 
 // fraction returns the accepted fraction.
--- a/internal/edge/acceptance_test.go
+++ b/internal/edge/acceptance_test.go
@@ -15,7 +15,7 @@
 type routerModel struct {
 	forwarder *Forwarder
 	// accepts reports whether to accept the next connection.
-	accepts func(now time.Time, unread int) bool
+	accepts func(now time.Time, fresh int) bool
 	// offered is the number of connections per second, each with one request.
 	offered int
 	// lagDelay is how long ago the lag was that the router knows.
@@ -81,19 +81,19 @@
 	}
 }
 
-// unread returns the number of accepted connections from which nothing was read yet.
-func (m *routerModel) unread() int {
-	unread := 0
+// fresh returns the number of accepted connections from which nothing was read yet.
+func (m *routerModel) fresh() int {
+	fresh := 0
 	for _, w := range m.queue {
 		if w.read {
-			unread++
+			fresh++
 		}
 	}
-	return unread
+	return fresh
 }
 
 func (m *routerModel) arrive(now time.Time) {
-	if m.accepts(now, m.unread()) {
+	if m.accepts(now, m.fresh()) {
 		m.queue = append(m.queue, modelWork{left: modelReadTime, read: true})
 		return
 	}
--- a/internal/edge/accounttally.go
+++ b/internal/edge/accounttally.go
@@ -16,7 +16,7 @@
 // period, in tokens.
 type accountTally struct {
 	account string
-	// unread is an estimate, for connections that were closed on arrival.
+	// unread is an estimate, for connections that were rejected.
 	asked, unread, shed, beyondShare, busy, admitted float64
 }
 
@@ -72,14 +72,14 @@
 // LogAccounts logs what became of the requests of the accounts of which this daemon has
 // refused most since the last call.
 func (f *Forwarder) LogAccounts(now time.Time) {
-	accepted, closed := f.acceptance.takeCounts()
+	accepted, rejected := f.acceptance.takeCounts()
 	for _, t := range f.cfg.Admission.takeTallies(now) {
 		fields := shareFields(t.share)
 		fields["account"], fields["here_asked"], fields["here_unread"], fields["here_shed"] = t.account, int(t.asked), int(t.unread), int(t.shed)
 		fields["here_beyond_share"], fields["here_busy"], fields["here_admitted"] = int(t.beyondShare), int(t.busy), int(t.admitted)
 		fields["accepted_fraction"], fields["lag_ms"], fields["standing_lag_ms"] =
 			f.acceptance.fraction(now), f.cfg.Lag().Milliseconds(), f.cfg.StandingLag().Milliseconds()
-		fields["chance"], fields["connections"], fields["connections_closed"] = t.share.Chance, accepted, closed
+		fields["chance"], fields["connections"], fields["connections_rejected"] = t.share.Chance, accepted, rejected
 		event.AccountRefused.Log(f.cfg.Log, fields)
 	}
 }
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -19,10 +19,10 @@
 	// only to refuse them takes processor time from those in progress.
 	shedStartLag = 10 * time.Millisecond
 	shedAllLag   = 50 * time.Millisecond
-	// maxUnread is the number of accepted connections from which nothing was read yet at
+	// maxFresh is the number of accepted connections from which nothing was read yet at
 	// which further ones are rejected. A fifth of a core reads as many requests, and
 	// refuses or sends them, in half a second.
-	maxUnread = 64
+	maxFresh = 64
 	// starvedLag and starvedUnsynced are the thresholds of Lag and UnsyncedFor at
 	// which, when both are reached, a daemon counts as too overloaded to
 	// communicate with its control hosts. It refuses all requests then.
@@ -116,11 +116,11 @@
 
 // AcceptsConnection reports whether to accept the next connection. While this daemon sheds
 // requests, it rejects a part of the connections, and while Overwhelmed all.
-// unread is the number of connections that were accepted lately and from which nothing was
+// fresh is the number of connections that were accepted lately and from which nothing was
 // read yet: a flood shows there before it shows in the lag.
-func (f *Forwarder) AcceptsConnection(now time.Time, unread int) bool {
-	if f.Overwhelmed() || unread >= maxUnread {
-		f.acceptance.recordClosed()
+func (f *Forwarder) AcceptsConnection(now time.Time, fresh int) bool {
+	if f.Overwhelmed() || fresh >= maxFresh {
+		f.acceptance.recordRejected()
 		return false
 	}
 	return f.acceptance.next(now)
