Accept a sixteenth of new connections at least

Cause: while a router sheds requests, it accepts 1/64 of new connections at least. That was set when callers came back five times to a router that closes on them, and each decision was counted up to twice, so that 1/32 were accepted. Of 1,700 connections a second 27 are too few for a router that can serve 100 requests, and requests on kept connections keep the fraction at its least.

--- a/internal/edge/acceptance.go
+++ b/internal/edge/acceptance.go
@@ -12,7 +12,7 @@
 	// request that it sheds for each that it serves.
 	shedStep = 1.0 / 32
 	// minAccepted is the smallest accepted fraction.
-	minAccepted = 1.0 / 64
+	minAccepted = 1.0 / 16
 	// acceptanceRecovery is the time in which the accepted fraction rises by a factor of e
 	// without any request.
 	acceptanceRecovery = time.Second
