Show that the pace takes from accounts whose requests find no endpoint

What callers see: accounts that ask for more than their share get less than it where a part of their requests finds no endpoint in time.

Cause: the fraction that routers admit is what may be admitted divided by what is offered. Of what is let through, a part finds no endpoint and is never made up for.

Mend, not tried: a request that finds no endpoint stands for those refused by chance, and neither is counted as offered.

--- a/internal/share/fleet_test.go
+++ b/internal/share/fleet_test.go
@@ -40,6 +40,8 @@
 	// processed is the number of requests per second that its routers have the
 	// processor time for; 0 means all.
 	processed int
+	// placed is the fraction of the requests for which an endpoint is found; 0 means all.
+	placed float64
 }
 
 const (
@@ -112,6 +114,9 @@
 			continue
 		}
 		s := l.Share(now, f.account, m.capacity, m.random.Float64())
+		if f.placed > 0 && m.random.Float64() >= f.placed {
+			continue
+		}
 		if s.WithinLevel() || !m.noSpare && s.WithinSpareLevel() {
 			l.RecordAdmitted(now, f.account, f.tokens)
 			got += f.tokens
@@ -235,3 +240,23 @@
 		}
 	}
 }
+
+// TestRequestsWithoutEndpointDoNotUseUpThePace guards against an account that gets less than
+// its share, because requests for which no endpoint is found count as admitted by chance.
+func TestRequestsWithoutEndpointDoNotUseUpThePace(t *testing.T) {
+	const (
+		seconds, settled = 16, 4
+		// The accounts ask for five times level each, in tokens per second.
+		level = 600_000
+		// minPart is the least part of its share that an account must get.
+		minPart = 0.9
+	)
+	c := qt.New(t)
+	m := fleetModel{noSpare: true, routers: 10, reportAge: 2, capacity: 2 * level * window.Seconds(), flows: []flow{
+		{account: "a", routers: 10, perSecond: 5 * level / 6000, tokens: 6000, placed: 0.4},
+		{account: "b", routers: 10, perSecond: 5 * level / 6000, tokens: 6000},
+	}}
+	admitted := m.run(seconds * stepsPerSec)
+	part := total(admitted[0], settled*stepsPerSec, (seconds-settled)*stepsPerSec) / (level * (seconds - settled))
+	c.Check(part >= minPart, qt.IsTrue, qt.Commentf("the account gets %.2f of its share", part))
+}
