Remove the vote of a replaced control host before two more are lost

What callers saw: a control host was replaced, and 7 s after its successor had started two others lost their disks.

Cause: the successor was promoted at once, and the vote of the former host counted for 10 s more. Of six voters one was silent, so that the quorum survived one further loss and not two. A planned replacement has the same gap, as the vote of a host that shuts down stayed too.

Ruled out: the log itself, which holds version 6 on three of the five disks; the hosts find each other within 0.2 s.

Fix: package repair compares what the quorum survives with what it must, and removes the vote of a host that is silent for 2 s, or that shuts down, if it is that vote that makes the difference and enough live voters remain. Elsewhere the 10 s stay. An even number of voters with a silent one can no longer last.

Tests: two new cases of TestNext fail before the change ("replaced voter is removed ...", "voter that shuts down is removed ..."). The case "silent voter stays until the timeout" asked for the fault (six voters, one silent for 9 s); in its place stand: six voters, silent for 1.9 s, stays; seven voters, silent for 9 s, stays, for 10 s, is removed.

--- a/internal/raft/schedule_test.go
+++ b/internal/raft/schedule_test.go
@@ -305,7 +305,7 @@
 	if len(current.Learners) > 0 && s.choose(2) == 0 {
 		return leader.node.Promotion(s.now)
 	}
-	view := repair.View{Self: leader.member, Hosts: make(map[string]repair.Host), MinVoters: s.targetVoters}
+	view := repair.View{Self: leader.member, Hosts: make(map[string]repair.Host), Tolerated: (s.targetVoters - 1) / 2}
 	view.Members = leader.node.Status(s.now).Members
 	for _, p := range s.peers {
 		if p == leader {
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -19,6 +19,10 @@
 	// voterTimeout is how long a voter may be silent before it is removed from a
 	// quorum that is large enough without it.
 	voterTimeout = 10 * time.Second
+	// replacedVoterTimeout applies instead if the silent voter keeps the quorum from
+	// tolerating as many further failures as it must: another host has taken its
+	// place, and it may be gone for good. Longer pauses than this are rare.
+	replacedVoterTimeout = 2 * time.Second
 )
 
 // Host is a control host as the leader sees it.
@@ -28,7 +32,8 @@
 	Alive   bool
 	// Draining is set while the host is shutting down.
 	Draining bool
-	// SilentFor is the time since the last contact with the host.
+	// SilentFor is the time since the last contact with the host. A host may be silent
+	// for a while and still count as alive.
 	SilentFor time.Duration
 }
 
@@ -39,13 +44,12 @@
 	Members []raft.MemberStatus
 	// Hosts holds the known control hosts, by name.
 	Hosts map[string]Host
-	// MinVoters is the minimum number of voters. With fewer, no majority would
-	// remain after as many failures as must be tolerated.
-	MinVoters int
+	// Tolerated is how many hosts may fail at the same time.
+	Tolerated int
 }
 
 // MinVoters returns the minimum number of voters that tolerates the given number
-// of failures.
+// of failures. With fewer, no majority would remain after them.
 func MinVoters(tolerated int) int { return 2*tolerated + 1 }
 
 // Next returns the next membership change, or false when none is needed. New
@@ -92,7 +96,23 @@
 	if !m.Voter {
 		return h.SilentFor >= learnerTimeout
 	}
-	return h.SilentFor >= voterTimeout && v.liveVoters() >= v.MinVoters
+	if v.liveVotersWithout(m.Member) < MinVoters(v.Tolerated) {
+		return false
+	}
+	return h.SilentFor >= voterTimeout || v.weakens(m)
+}
+
+// weakens reports whether a voter is likely to be gone, and the quorum would not survive
+// as many further failures as it must while that vote counts. The vote of a host that is
+// shutting down is removed while the host still runs.
+func (v View) weakens(m raft.MemberStatus) bool {
+	h := v.Hosts[m.Member.Host]
+	silent := !m.Active && h.SilentFor >= replacedVoterTimeout
+	if !silent && !h.Draining {
+		return false
+	}
+	majority := v.voters()/2 + 1
+	return v.liveVotersWithout(m.Member)-majority < v.Tolerated
 }
 
 // hasReplacement reports whether the host of a lost data folder already votes
@@ -109,17 +129,29 @@
 			return true
 		}
 	}
-	return v.liveVoters() >= v.MinVoters
+	return v.liveVotersWithout(lost) >= MinVoters(v.Tolerated)
+}
+
+// voters returns the number of voters.
+func (v View) voters() int {
+	count := 0
+	for _, m := range v.Members {
+		if m.Voter {
+			count++
+		}
+	}
+	return count
 }
 
-// liveVoters counts the voters that are alive, respond to the leader and still
-// have their data folder. The host of a replica that can't write is alive, but
-// the replica doesn't respond. The leader always counts as alive.
-func (v View) liveVoters() int {
+// liveVotersWithout counts the voters, leaving out one, that are alive, respond to the
+// leader and still have their data folder. The host of a replica that can't write is
+// alive, but the replica doesn't respond. The leader always counts as alive.
+func (v View) liveVotersWithout(excluded raft.Member) int {
 	count := 0
 	for _, m := range v.Members {
 		h := v.Hosts[m.Member.Host]
-		if m.Voter && (m.Member == v.Self || m.Active && h.Alive && h.Replica == m.Member.Replica) {
+		live := m.Member == v.Self || m.Active && h.Alive && h.Replica == m.Member.Replica
+		if m.Voter && live && m.Member != excluded {
 			count++
 		}
 	}
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -78,11 +78,34 @@
 			hosts["f"] = alive(6)
 			return hosts
 		}(), raft.Change{}},
-		{"silent voter stays until the timeout", append(five[:5:5], voter("f", 6)), func() map[string]repair.Host {
-			hosts := withHost("b", silent(2, 9*time.Second))
+		// Guards against a quorum of six that a replaced host and two lost disks leave without a majority.
+		{"replaced voter is removed when two more failures would leave no majority", append(five[:4:4], suspended("e", 5), voter("f", 6)), func() map[string]repair.Host {
+			hosts := withHost("e", repair.Host{Replica: 5, Alive: true, SilentFor: 2 * time.Second})
 			hosts["f"] = alive(6)
 			return hosts
+		}(), raft.Change{Kind: raft.Remove, Member: raft.Member{Host: "e", Replica: 5}}},
+		{"replaced voter stays while its silence may be a pause", append(five[:4:4], suspended("e", 5), voter("f", 6)), func() map[string]repair.Host {
+			hosts := withHost("e", repair.Host{Replica: 5, Alive: true, SilentFor: 1900 * time.Millisecond})
+			hosts["f"] = alive(6)
+			return hosts
+		}(), raft.Change{}},
+		{"silent voter of a quorum that tolerates two more failures stays until the timeout", append(five[:4:4], suspended("e", 5), voter("f", 6), voter("g", 7)), func() map[string]repair.Host {
+			hosts := withHost("e", silent(5, 9*time.Second))
+			hosts["f"], hosts["g"] = alive(6), alive(7)
+			return hosts
 		}(), raft.Change{}},
+		{"silent voter of a quorum that tolerates two more failures is removed at the timeout", append(five[:4:4], suspended("e", 5), voter("f", 6), voter("g", 7)), func() map[string]repair.Host {
+			hosts := withHost("e", silent(5, 10*time.Second))
+			hosts["f"], hosts["g"] = alive(6), alive(7)
+			return hosts
+		}(), raft.Change{Kind: raft.Remove, Member: raft.Member{Host: "e", Replica: 5}}},
+		// Guards against a successor that is there before its predecessor ends, as in a planned replacement.
+		{"voter that shuts down is removed once its successor votes", append(five[:5:5], voter("f", 6)), func() map[string]repair.Host {
+			hosts := withHost("e", repair.Host{Replica: 5, Alive: true, Draining: true})
+			hosts["f"] = alive(6)
+			return hosts
+		}(), raft.Change{Kind: raft.Remove, Member: raft.Member{Host: "e", Replica: 5}}},
+		{"voter that shuts down stays in a quorum of minimum size", five, withHost("e", repair.Host{Replica: 5, Alive: true, Draining: true}), raft.Change{}},
 		{"silent learner is removed", append(five[:5:5], learner("f", 6)), func() map[string]repair.Host {
 			hosts := withHost("b", alive(2))
 			hosts["f"] = silent(6, 6*time.Second)
@@ -93,7 +116,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			got, ok := repair.Next(repair.View{Self: self, Members: test.members, Hosts: test.hosts, MinVoters: repair.MinVoters(2)})
+			got, ok := repair.Next(repair.View{Self: self, Members: test.members, Hosts: test.hosts, Tolerated: 2})
 			c.Check(got, qt.DeepEquals, test.want)
 			c.Check(ok, qt.Equals, test.want != raft.Change{})
 		})
--- a/internal/site/quorum.go
+++ b/internal/site/quorum.go
@@ -121,10 +121,11 @@
 	defer c.mu.Unlock()
 	v := repair.View{
 		Self: c.replica.Self(), Members: status.Members(), Hosts: make(map[string]repair.Host),
-		MinVoters: repair.MinVoters(c.settings.ToleratedHosts),
+		Tolerated: c.settings.ToleratedHosts,
 	}
 	for _, h := range c.hosts.Alive(now) {
-		v.Hosts[h.Address] = repair.Host{Replica: h.Replica, Alive: true, Draining: h.Draining}
+		silence, _ := c.hosts.SinceContact(now, h.Address)
+		v.Hosts[h.Address] = repair.Host{Replica: h.Replica, Alive: true, Draining: h.Draining, SilentFor: silence}
 	}
 	for _, m := range status.Members() {
 		if _, alive := v.Hosts[m.Member.Host]; alive {
