Let a stream go on at a version only if the quorum knows no other

Cause: a router inferred the origin of an unknown stream from the versions that it had heard of, if a control host had answered within 2 s. In that time other routers may have begun streams at a version that it has not heard of. The same gap is there for a router that stands still or whose control hosts answer slowly, and for any router while an announcement passes between control hosts.

Ruled out: FindStream, which was not called, and the streams that routers report, which had reached the control hosts. Event 419 now says by what the origin was sought and how long ago a control host had answered.

Fix: a version that is new to a service is recorded in the replicated log before any router gets an endpoint with it, and a router reads the recorded versions from the leader after the caller has come. The record is before the stream, the stream before its caller's return, that before the read: a stream of a version that the read lacks is impossible. Control hosts of the former version make the leader refuse the read, and unknown streams are refused as not run.

Tests: TestNewSoftwareIsUsedOnlyWhenRecorded fails without the record, four of six cases of TestUnknownStreamOutOfTouchIsRefused without the read. That test had one case, with a router out of touch for 3 s; it now has this one and those with a router that is in touch, by its own clock.

--- a/internal/directory/version.go
+++ b/internal/directory/version.go
@@ -18,13 +18,27 @@
 	direct bool
 }
 
-// version returns the version of the entry; its service is "" if that is unknown.
-func (e Entry) version() Version { return Version{Service: e.Service, Software: e.Software} }
+// Version returns the version of the entry; its service is "" if that is unknown.
+func (e Entry) Version() Version { return Version{Service: e.Service, Software: e.Software} }
+
+// HasVersion reports whether an endpoint has the version of the entry, the entry's own
+// endpoint first.
+func (d *Directory) HasVersion(e Entry) bool {
+	if held, ok := d.entries[e.ID]; ok && held.Version() == e.Version() {
+		return true
+	}
+	for _, r := range d.entries {
+		if r.Version() == e.Version() {
+			return true
+		}
+	}
+	return false
+}
 
 // recordReplaced records that an entry is replaced by one of another version.
 func (d *Directory) recordReplaced(now time.Time, held, e Entry) {
-	if held.Service != "" && held.version() != e.version() {
-		d.former[held.version()] = formerVersion{at: now, direct: true}
+	if held.Service != "" && held.Version() != e.Version() {
+		d.former[held.Version()] = formerVersion{at: now, direct: true}
 	}
 }
 
@@ -59,7 +73,7 @@
 	list := d.Former(now, false)
 	for _, r := range d.entries {
 		if r.Service != "" {
-			list = append(list, r.version())
+			list = append(list, r.Version())
 		}
 	}
 	return list
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -85,6 +86,9 @@
 	tables    *tables
 	// setEndpoints replaces the endpoints.
 	setEndpoints func([]directory.Entry)
+	// software holds the versions that are recorded for the service; nil if they can't be
+	// confirmed.
+	software atomic.Pointer[[]string]
 	// lag and unsynced are the values of Config.Lag and Config.UnsyncedFor, in
 	// nanoseconds.
 	lag, unsynced atomic.Int64
@@ -152,6 +156,7 @@
 		var origins []streams.Origin
 		for _, e := range entries {
 			origins = append(origins, streams.Origin{Service: e.Service, Software: e.Software})
+			s.recordSoftware(e.Software)
 		}
 		s.forwarder.UpdateVersions(time.Now(), origins)
 		admission.Update(time.Now(), entries, table, time.Second)
@@ -161,8 +166,9 @@
 	s.forwarder = edge.New(edge.Config{
 		Codec: adapter, Endpoints: hookedEndpoints{Client: client, site: s}, Tables: s.tables, Admission: admission, Metrics: noMetrics{},
 		TooManyConnections: func() bool { return false }, CallerDisconnected: func(context.Context) bool { return s.disconnected.Load() }, Lag: func() time.Duration { return time.Duration(s.lag.Load()) },
-		UnsyncedFor: func() time.Duration { return time.Duration(s.unsynced.Load()) },
-		Log:         l, MaxAnswerBytes: 1 << 20,
+		UnsyncedFor:  func() time.Duration { return time.Duration(s.unsynced.Load()) },
+		OnlySoftware: s.onlySoftware,
+		Log:          l, MaxAnswerBytes: 1 << 20,
 	})
 	s.forwarder.SetRetryBudget(1, 100)
 	s.server = httptest.NewServer(s.forwarder)
@@ -173,6 +179,26 @@
 	return s
 }
 
+// recordSoftware adds to the recorded versions.
+func (s *site) recordSoftware(version string) {
+	var versions []string
+	if recorded := s.software.Load(); recorded != nil {
+		versions = slices.Clone(*recorded)
+	}
+	if !slices.Contains(versions, version) {
+		versions = append(versions, version)
+	}
+	s.software.Store(&versions)
+}
+
+func (s *site) onlySoftware(string) (string, bool) {
+	recorded := s.software.Load()
+	if recorded == nil || len(*recorded) != 1 {
+		return "", false
+	}
+	return (*recorded)[0], true
+}
+
 // allowBody changes the limit of the request body.
 func (s *site) allowBody(c *qt.C, bytes int64) {
 	doc := document()
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -39,6 +39,10 @@
 	UnsyncedFor func() time.Duration
 	// FindStream asks other daemons for the origin of a stream; nil if there are none.
 	FindStream func(ctx context.Context, key streams.Key) (streams.Origin, bool)
+	// OnlySoftware returns the one software version that endpoints of the service have had
+	// lately, and whether there is exactly one. It is confirmed after the call; nil if
+	// that can't be known.
+	OnlySoftware func(service string) (software string, only bool)
 	// MaxActive bounds the number of requests in progress; 0 means no bound.
 	MaxActive int
 	// MaxAnswerBytes bounds the size of an answer.
--- a/internal/edge/software_test.go
+++ b/internal/edge/software_test.go
@@ -126,13 +126,31 @@
 }
 
 // TestUnknownStreamOutOfTouchIsRefused guards against a router that does not hear of
-// endpoints with another software version and sends a stream that began there to its own.
+// endpoints with another software version and sends a stream that began there to its own:
+// also if a control host has answered just before.
 func TestUnknownStreamOutOfTouchIsRefused(t *testing.T) {
-	c := qt.New(t)
-	e := newEndpoint(c, events(4, 6, true))
-	s := newVersionedSite(c, []string{"v1"}, e)
-	s.unsynced.Store(int64(3 * time.Second))
-	status, _ := s.askStream(c, "b", "unknown", "3")
-	c.Check(status, qt.Equals, http.StatusServiceUnavailable)
-	c.Check(e.seen(), qt.HasLen, 0)
+	tests := []struct {
+		name     string
+		unsynced time.Duration
+		// isolate changes what the quorum tells the router.
+		isolate func(s *site)
+	}{
+		{"the quorum does not answer", 3 * time.Second, func(s *site) { s.software.Store(nil) }},
+		{"the quorum no longer answers", 0, func(s *site) { s.software.Store(nil) }},
+		{"the quorum knows of a version that the router has not heard of", 0, func(s *site) { s.recordSoftware("v2") }},
+	}
+	for _, test := range tests {
+		for _, resumes := range []string{"unknown", ""} {
+			t.Run(fmt.Sprintf("%s, resumes %q", test.name, resumes), func(t *testing.T) {
+				c := qt.New(t)
+				e := newEndpoint(c, events(4, 6, true))
+				s := newVersionedSite(c, []string{"v1"}, e)
+				s.unsynced.Store(int64(test.unsynced))
+				test.isolate(s)
+				status, _ := s.askStream(c, "b", resumes, "3")
+				c.Check(status, qt.Equals, http.StatusServiceUnavailable)
+				c.Check(e.seen(), qt.HasLen, 0)
+			})
+		}
+	}
 }
--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -17,10 +17,6 @@
 // news of it may still be on its way.
 const unknownStreamRetryAfter = 300 * time.Millisecond
 
-// maxVersionsAge is how long after a control host last answered this router relies on
-// the versions that it knows: an endpoint with another one may have come since.
-const maxVersionsAge = 2 * time.Second
-
 // streamTracker knows the origins of the streams that this router has forwarded, and
 // the software versions of the services. It is safe for concurrent use.
 type streamTracker struct {
@@ -40,17 +36,20 @@
 	s.index.Report(now, stream)
 }
 
-// find returns the origin of the stream that began with the request, which is now to go
-// on at the service. A stream that is unknown began at the only version that the service
-// has had, if there is one and all versions are known.
-func (s *streamTracker) find(now time.Time, service, requestID string, allKnown bool) (streams.Origin, bool) {
+// find returns the origin of the stream that began with the request, if this router has
+// forwarded it.
+func (s *streamTracker) find(now time.Time, requestID string) (streams.Origin, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if origin, found := s.index.Find(now, streams.NewKey(requestID)); found || !allKnown {
-		return origin, found
-	}
-	software, only := s.versions.Only(now, service)
-	return streams.Origin{Service: service, Software: software}, only
+	return s.index.Find(now, streams.NewKey(requestID))
+}
+
+// mixed reports whether this router knows of several versions of the service, or of none.
+func (s *streamTracker) mixed(now time.Time, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, only := s.versions.Only(now, service)
+	return !only
 }
 
 // UpdateVersions records the software versions of the endpoints, including those that
@@ -88,8 +87,10 @@
 	if !t.resumesStream() {
 		return nil
 	}
-	allKnown := f.cfg.UnsyncedFor() < maxVersionsAge
-	origin, found := f.streams.find(time.Now(), t.service, t.request.Resumes, allKnown)
+	origin, found := f.streams.find(time.Now(), t.request.Resumes)
+	if !found {
+		origin, found = f.onlyOrigin(t)
+	}
 	if !found && t.request.Resumes != "" && f.cfg.FindStream != nil {
 		origin, found = f.askForOrigin(ctx, t)
 	}
@@ -109,15 +110,41 @@
 	return nil
 }
 
+// onlyOrigin returns the origin of a stream that this router has not seen begin, if all
+// endpoints of its service have one version. What this router has heard is not enough: a
+// version may be new, and the stream may have begun there at another router. So the
+// version is confirmed after the caller came.
+func (f *Forwarder) onlyOrigin(t *task) (streams.Origin, bool) {
+	start := time.Now()
+	if f.cfg.OnlySoftware == nil || f.streams.mixed(start, t.service) {
+		return streams.Origin{}, false
+	}
+	software, only := f.cfg.OnlySoftware(t.service)
+	origin := streams.Origin{Service: t.service, Software: software}
+	f.logSought(t, start, originByVersion, origin, only)
+	return origin, only
+}
+
 // askForOrigin asks other daemons where the stream began.
 func (f *Forwarder) askForOrigin(ctx context.Context, t *task) (streams.Origin, bool) {
 	start := time.Now()
 	origin, found := f.cfg.FindStream(ctx, streams.NewKey(t.request.Resumes))
+	f.logSought(t, start, originByReport, origin, found)
+	return origin, found
+}
+
+// What the origin of a stream was sought by.
+const (
+	originByVersion = "only_version"
+	originByReport  = "report"
+)
+
+func (f *Forwarder) logSought(t *task, start time.Time, by string, origin streams.Origin, found bool) {
 	fields := t.logFields()
-	fields["resumes"], fields["found"], fields["origin_service"], fields["software"] = t.request.Resumes, found, origin.Service, origin.Software
-	fields["took_ms"] = time.Since(start).Milliseconds()
+	fields["resumes"], fields["by"], fields["found"] = t.request.Resumes, by, found
+	fields["origin_service"], fields["software"] = origin.Service, origin.Software
+	fields["took_ms"], fields["unsynced_ms"] = time.Since(start).Milliseconds(), f.cfg.UnsyncedFor().Milliseconds()
 	event.StreamSought.Log(f.cfg.Log, fields)
-	return origin, found
 }
 
 // streamBegan records which endpoint began the task's stream: it may go on only at the
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -69,6 +69,7 @@
 	EndpointRateLimit     = define(418, log.InfoLevel, "endpoint states another rate limit")
 	EndpointSilent        = define(420, log.InfoLevel, "endpoint silent")
 	EndpointSpeed         = define(435, log.InfoLevel, "endpoint speed changed")
+	SoftwareUnrecorded    = define(436, log.WarnLevel, "software version not recorded")
 	HedgeSettled          = define(421, log.InfoLevel, "hedged request settled")
 	EndpointCold          = define(430, log.InfoLevel, "endpoint turned cold")
 	AccountRefused        = define(422, log.InfoLevel, "requests of an account refused")
--- a/internal/peer/sync.go
+++ b/internal/peer/sync.go
@@ -41,6 +41,15 @@
 	return wire.NewSyncClient(conn).FindStream(ctx, request)
 }
 
+// Query reads the replicated state at the control host, if that is the leader.
+func Query(ctx context.Context, dialer *Dialer, host string, request *wire.QueryRequest) (*wire.QueryResponse, error) {
+	conn, err := dialer.Conn(host)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewStateClient(conn).Query(ctx, request)
+}
+
 // maxTransferTime bounds a call during which the host keeps sending.
 const maxTransferTime = 30 * time.Second
 
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -65,6 +65,11 @@
 	tables *tableChecks
 	// saves saves the endpoints.
 	saves *onDemand
+	// records records the software versions of newcomers.
+	records *onDemand
+	// absences is nil unless this host leads. Only the goroutine that maintains the
+	// recorded software versions uses it.
+	absences absences
 	// firstSync is closed once another control host has sent its endpoints.
 	firstSync  chan struct{}
 	markSynced func()
@@ -95,8 +100,11 @@
 	inFlight map[string]bool
 	// loads holds the load that routers and control hosts report.
 	loads *loadSums
-	// formerVersion holds the control hosts that run a version without evacuations.
-	formerVersion map[string]bool
+	// capabilities holds those of the other control hosts, by address.
+	capabilities map[string]capabilities
+	// newcomers holds the endpoints that wait for their software version to be recorded.
+	// None of them is in the directory.
+	newcomers newcomers
 	// firstChoices holds the endpoints that routers choose first, by region.
 	firstChoices map[string]regionEndpoints
 	// roster holds the site's routers.
@@ -110,21 +118,23 @@
 		store: state.NewStore(state.Limits{}), replicator: peer.NewReplicator(d.dialer), failed: make(chan error, 1), quorumLog: stateserver.NewQuorumLogger(d.log),
 		hosts: discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
 		cursors: make(map[string]syncCursor), inFlight: make(map[string]bool), cached: prefixes.New(),
-		loads: newLoadSums(), streams: streams.New(), speeds: speeds.NewIndex(), firstChoices: make(map[string]regionEndpoints), formerVersion: make(map[string]bool),
+		loads: newLoadSums(), streams: streams.New(), speeds: speeds.NewIndex(), firstChoices: make(map[string]regionEndpoints), capabilities: make(map[string]capabilities),
 		parts:  edge.NewParts(0), // Control hosts send no requests.
 		tables: newTableChecks(), roster: newRoster(time.Now(), d.settings.LimitsColdEndpoints()),
-		saves: newOnDemand(), firstSync: make(chan struct{}),
+		saves: newOnDemand(), records: newOnDemand(), newcomers: make(newcomers), firstSync: make(chan struct{}),
 	}
 	c.markSynced = sync.OnceFunc(func() { close(c.firstSync) })
 	if err := c.startReplica(); err != nil {
 		return nil, errors.Join(err, c.replicator.Close())
 	}
-	c.server = &quorumServer{stateserver.New(c.replica, c.store)}
+	c.server = &quorumServer{Server: stateserver.New(c.replica, c.store), recordsSoftware: c.recordsSoftware}
 	c.quorum = peer.NewDynamicQuorum(d.dialer, d.settings.PeerAddress(), c.otherHosts, c.server)
 	c.done.Go(func() { c.watchReplica() })
 	c.done.Go(func() { c.tables.run(ctx, c.checkTable) })
 	c.done.Go(func() { runPeriodically(ctx, peerSyncPeriod, c.syncPeers) })
 	c.done.Go(func() { runPeriodically(ctx, repairPeriod, c.repair) })
+	c.done.Go(func() { c.records.run(ctx, recordRetryPeriod, c.recordNewcomers) })
+	c.done.Go(func() { runPeriodically(ctx, softwarePeriod, c.maintainSoftware) })
 	c.done.Go(func() {
 		c.restoreEndpoints(ctx)
 		c.saves.run(ctx, savePeriod, c.saver())
@@ -147,13 +157,21 @@
 
 func (c *control) drain() { c.draining.Store(true) }
 
-// Announce records an endpoint's announcement.
+// Announce records an endpoint's announcement. An endpoint with a new software version is
+// in the directory only when that is recorded.
 func (c *control) Announce(now time.Time, entry directory.Entry) (directory.Change, error) {
 	entry.LastSeen, entry.Region = now, c.settings.RegionOf(entry.Zone)
 	if err := entry.Validate(); err != nil {
 		return directory.Stale, fmt.Errorf("announcement: %w", err)
 	}
 	c.mu.Lock()
+	if c.awaitsRecord(entry) {
+		c.newcomers.add(entry)
+		c.mu.Unlock()
+		c.records.want()
+		return directory.Stale, nil
+	}
+	c.newcomers.remove(entry.ID)
 	change := c.directory.Announce(entry)
 	c.mu.Unlock()
 	c.recordAnnounced(change, entry)
@@ -167,6 +185,7 @@
 		return directory.Stale, fmt.Errorf("departure: %w", err)
 	}
 	c.mu.Lock()
+	c.newcomers.remove(id)
 	change := c.directory.Leave(now, id, started)
 	c.mu.Unlock()
 	c.recordAnnounced(change, directory.Entry{ID: id})
--- a/internal/site/evacuation.go
+++ b/internal/site/evacuation.go
@@ -44,12 +44,8 @@
 	if err := c.waitForVoters(ctx); err != nil {
 		return err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, m := range c.replica.Status().Members() {
-		if c.formerVersion[m.Member.Host] {
-			return fmt.Errorf("the control host %s runs a version that knows no evacuations", m.Member.Host)
-		}
+	if host, former := c.formerMember(func(known capabilities) bool { return known.evacuations }); former {
+		return fmt.Errorf("the control host %s runs a version that knows no evacuations", host)
 	}
 	return nil
 }
@@ -74,16 +70,6 @@
 	return nil
 }
 
-// recordVersion records whether a control host, which has described itself, knows
-// evacuations. The caller holds c.mu.
-func (c *control) recordVersion(host *wire.ControlHost) {
-	if host.GetEvacuations() {
-		delete(c.formerVersion, host.GetAddress())
-	} else {
-		c.formerVersion[host.GetAddress()] = true
-	}
-}
-
 // addEvacuation adds the evacuated zones, for a router.
 func (c *control) addEvacuation(request *wire.SyncRequest, response *wire.SyncResponse) {
 	if evacuation := c.store.Evacuation(); evacuation != nil && request.GetControl() == nil {
--- a/internal/site/exchange.go
+++ b/internal/site/exchange.go
@@ -32,7 +32,7 @@
 	return &wire.ControlHost{
 		Address: c.settings.PeerAddress(), Incarnation: c.self.GetIncarnation(), Region: c.settings.Region, Zone: c.settings.Zone,
 		Replica: c.replica.Self().Replica, Draining: c.draining.Load(),
-		Evacuations: true,
+		Evacuations: true, SoftwareRecords: true,
 	}
 }
 
--- a/internal/site/export_test.go
+++ b/internal/site/export_test.go
@@ -18,5 +18,5 @@
 func (d *Daemon) RecordVersion(address string, evacuations bool) {
 	d.control.mu.Lock()
 	defer d.control.mu.Unlock()
-	d.control.recordVersion(&wire.ControlHost{Address: address, Evacuations: evacuations})
+	d.control.recordVersion(&wire.ControlHost{Address: address, Evacuations: evacuations, SoftwareRecords: true})
 }
--- a/internal/site/ondemand.go
+++ b/internal/site/ondemand.go
@@ -52,19 +52,27 @@
 	return ended
 }
 
-// await has the work done, and waits for its end at most for the timeout.
-func (d *onDemand) await(timeout time.Duration) {
-	d.mu.Lock()
-	ended := d.ended
-	d.mu.Unlock()
+// want has the work done, and does not wait for it.
+func (d *onDemand) want() {
 	select {
 	case d.wanted <- struct{}{}:
 	default: // It is wanted already.
 	}
+}
+
+// await has the work done, and waits for its end at most for the timeout. It reports
+// whether the work has ended.
+func (d *onDemand) await(timeout time.Duration) bool {
+	d.mu.Lock()
+	ended := d.ended
+	d.mu.Unlock()
+	d.want()
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-ended:
+		return true
 	case <-timer.C:
+		return false
 	}
 }
--- a/internal/site/quorum.go
+++ b/internal/site/quorum.go
@@ -17,8 +17,12 @@
 	"oleanderramp/internal/wire"
 )
 
-// quorumServer serves the replicated state to the other control hosts.
-type quorumServer struct{ *stateserver.Server }
+// quorumServer serves the replicated state to the other daemons.
+type quorumServer struct {
+	*stateserver.Server
+	// recordsSoftware reports whether all members record software versions.
+	recordsSoftware func() bool
+}
 
 // errNotSupported is returned by the methods that a site daemon does not
 // support.
--- a/internal/site/resume_test.go
+++ b/internal/site/resume_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/grpc"
@@ -184,3 +185,38 @@
 		})
 	}
 }
+
+// TestNewSoftwareIsUsedOnlyWhenRecorded guards against streams of two software versions: a
+// router that was cut off asked the quorum for the versions of a service, and the quorum did
+// not know of one at which other routers had already begun streams.
+func TestNewSoftwareIsUsedOnlyWhenRecorded(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	s := newTestSite(c, 3)
+	s.replace(0, streamRoute)
+	former, next := streamEndpoint(c, 1, 1, true), streamEndpoint(c, 2, 2, true)
+	s.announceSoftware(0, "former", "v1", "ready", 1, former)
+	status, body := 0, ""
+	s.eventually("the router uses the endpoint", func() bool {
+		status, body = s.stream(map[string]string{"Oleanderramp-Request-Id": "first"})
+		return status == http.StatusOK
+	})
+
+	// Without a quorum the new version can't be recorded, the known one is used on.
+	c.Assert(s.controls[1].daemon.Close(), qt.IsNil)
+	c.Assert(s.controls[2].daemon.Close(), qt.IsNil)
+	s.announceSoftware(0, "next", "v2", "ready", 1, next)
+	s.announceSoftware(0, "former", "v1", "draining", 2, former)
+	for range 20 {
+		status, body = s.stream(map[string]string{"Oleanderramp-Request-Id": "second"})
+		c.Assert(status == http.StatusOK && body == "id: 2\ndata: x\n\n", qt.IsFalse, qt.Commentf("the version is not recorded"))
+		time.Sleep(50 * time.Millisecond)
+	}
+
+	s.run(s.controls[1])
+	s.run(s.controls[2])
+	s.eventually("the router uses the new version", func() bool {
+		status, body = s.stream(map[string]string{"Oleanderramp-Request-Id": "third"})
+		return status == http.StatusOK && body == "id: 2\ndata: x\n\n"
+	})
+}
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -108,6 +108,7 @@
 	lag         lagMeter
 	standingLag *standingLag
 	pauses      *pauseWatch
+	software    *softwareReads
 	stop        context.CancelFunc
 	done        sync.WaitGroup
 
@@ -173,7 +174,7 @@
 		settings: d.settings, adapter: d.adapter, log: d.log, self: d.self, started: time.Now(), dialer: d.dialer, stop: cancel,
 		admission: edge.NewAdmissionController(d.settings.Region, d.settings.ShareWindow()),
 		hosts:     discovery.New(d.settings.PeerAddress(), d.settings.SeedAddresses()), directory: directory.New(),
-		cursors: make(map[string]syncCursor), primaryFailures: make(map[string]time.Time), sentLoads: newSentLoads(),
+		cursors: make(map[string]syncCursor), primaryFailures: make(map[string]time.Time), sentLoads: newSentLoads(), software: newSoftwareReads(),
 		client: endpoint.NewClient(endpoint.ClientConfig{
 			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdleTimeout, MaxIdle: maxIdleConnections, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
 		}),
@@ -202,8 +203,8 @@
 	r.forwarder = edge.New(edge.Config{
 		TooManyConnections: r.conns.OverSoftLimit, CallerDisconnected: httpserver.CallerDisconnected, Lag: r.lag.value, StandingLag: r.StandingLag, UnsyncedFor: r.Unsynced, MaxActive: maxActiveRequests(d.settings),
 		Codec: d.adapter, Endpoints: r.client, Tables: r, Admission: r.admission, Log: d.log,
-		FindStream: r.findStream,
-		Metrics:    telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes, Memory: d.memory,
+		FindStream: r.findStream, OnlySoftware: r.software.only,
+		Metrics: telemetry.NewRequestMetrics(d.registry), MaxAnswerBytes: maxAnswerBytes, Memory: d.memory,
 	})
 	if d.settings.SharedSpeeds {
 		r.admission.UseSharedSpeeds()
@@ -212,6 +213,7 @@
 	telemetry.RegisterRouter(d.registry, r)
 	telemetry.RegisterEvacuatedZones(d.registry, r.evacuatedZones)
 	r.done.Go(func() { r.lag.run(ctx) })
+	r.done.Go(func() { r.software.reads.run(ctx, 0, r.readSoftware) })
 	r.done.Go(func() { runPeriodically(ctx, pauseBeat, func(context.Context) { r.pauses.beat() }) })
 	r.done.Go(func() {
 		r.fetchInitialTable(ctx)
--- a/internal/site/streams.go
+++ b/internal/site/streams.go
@@ -112,13 +112,21 @@
 func (r *router) askForStream(ctx context.Context, hosts []string, key streams.Key) (streams.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, findStreamTimeout)
 	defer cancel()
-	answers := make(chan *wire.FindStreamResponse, len(hosts))
+	return askHosts(ctx, hosts, func(ctx context.Context, host string) (streams.Origin, bool) {
+		response, err := peer.FindStream(ctx, r.dialer, host, &wire.FindStreamRequest{Key: uint64(key)})
+		return streams.Origin{Service: response.GetService(), Software: response.GetSoftware()}, err == nil && response.GetFound()
+	})
+}
+
+// askHosts asks the hosts at the same time and returns the first answer, or false if none
+// has one.
+func askHosts[T any](ctx context.Context, hosts []string, ask func(ctx context.Context, host string) (T, bool)) (T, bool) {
+	answers := make(chan T, len(hosts))
 	var calls sync.WaitGroup
 	for _, host := range hosts {
 		calls.Go(func() {
-			response, err := peer.FindStream(ctx, r.dialer, host, &wire.FindStreamRequest{Key: uint64(key)})
-			if err == nil && response.GetFound() {
-				answers <- response
+			if answer, ok := ask(ctx, host); ok {
+				answers <- answer
 			}
 		})
 	}
@@ -126,10 +134,8 @@
 		calls.Wait()
 		close(answers)
 	}()
-	if answer, ok := <-answers; ok {
-		return streams.Origin{Service: answer.GetService(), Software: answer.GetSoftware()}, true
-	}
-	return streams.Origin{}, false
+	answer, ok := <-answers
+	return answer, ok
 }
 
 // sleep waits for the duration, or until the context ends.
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -1,6 +1,7 @@
 // Package state implements the replicated state machine. Its commands change
 // bundles, at-most-once records, processes, fences, quarantined and suspected
-// digests, drained endpoints, the routing table, evacuated zones and the audit trail.
+// digests, drained endpoints, the routing table, evacuated zones, software versions and the audit
+// trail.
 //
 // A Machine is deterministic: machines that apply the same commands hold the
 // same state and return the same results. It doesn't read the system clock: its
@@ -36,6 +37,7 @@
 	routing    routingTable
 
 	evacuations *evacuationTable
+	software    *softwareTable
 }
 
 // New returns an empty machine. All replicas must use the same limits.
@@ -53,6 +55,7 @@
 		audit:      newAuditTrail(limits),
 
 		evacuations: newEvacuationTable(),
+		software:    newSoftwareTable(),
 	}
 }
 
@@ -101,6 +104,10 @@
 		return m.replaceRouting(body.ReplaceRouting)
 	case *wire.Command_SetEvacuation:
 		return m.setEvacuation(body.SetEvacuation)
+	case *wire.Command_RecordSoftware:
+		return m.recordSoftware(body.RecordSoftware)
+	case *wire.Command_ForgetSoftware:
+		return m.forgetSoftware(body.ForgetSoftware)
 	default:
 		return m.executeAudited(command)
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -39,6 +39,7 @@
 		ClockMs:      m.clock.nowMS,
 		Routing:      m.Routing(),
 		Evacuation:   m.Evacuation(),
+		Software:     m.Software(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -106,6 +107,7 @@
 	m.audit.dropped = snapshot.GetAuditDropped()
 	m.routing = routingTable{version: snapshot.GetRouting().GetVersion(), document: snapshot.GetRouting().GetDocument()}
 	m.evacuations.restore(snapshot.GetEvacuation())
+	m.software.restore(snapshot.GetSoftware())
 }
 
 func (r *bundleRegistry) restore(snapshot *wire.Snapshot) error {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -165,3 +165,10 @@
 	defer s.mu.RUnlock()
 	return s.machine.Evacuation()
 }
+
+// Software calls Machine.Software.
+func (s *Store) Software() *wire.SoftwareState {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.Software()
+}
--- a/internal/stateserver/stateserver.go
+++ b/internal/stateserver/stateserver.go
@@ -91,6 +91,8 @@
 		return &wire.QueryResponse{Routing: s.store.Routing()}, nil
 	case *wire.QueryRequest_Evacuation:
 		return &wire.QueryResponse{Evacuation: s.store.Evacuation()}, nil
+	case *wire.QueryRequest_Software:
+		return &wire.QueryResponse{Software: s.store.Software()}, nil
 	}
 	return nil, status.Error(codes.InvalidArgument, "empty query")
 }
