Acknowledge a departure once the quorum has it

What callers saw: a control host acknowledged that an engine leaves, and lost its disk as all control hosts lost power.

Cause: the ack waited for the disk of the one host that gave it. The others ask for changes every 200 ms. What took that host away in between took the departure along.

Ruled out: the routers, which keep a departure once they know it, and the file of saved endpoints, which had it on the one disk that was lost.

Fix: the departure of an endpoint's start is a command of the replicated log. The ack, of a deregistration or of an announcement as draining, at whichever host, waits for the commit; each control host adds committed departures to its directory, also at its start. An acknowledged departure is on more disks than may be lost at once.

The bare control host of restore_test.go gets a store and a commit that succeeds.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -171,6 +171,14 @@
 	d.entries[e.ID] = r
 }
 
+// Started returns when the endpoint started, as far as is known; zero otherwise.
+func (d *Directory) Started(id string) time.Time {
+	if held, ok := d.entries[id]; ok {
+		return held.Started
+	}
+	return time.Time{}
+}
+
 // Leave records that the endpoint has announced its departure. started is the
 // start that ends; if it is zero, the known start is meant, or for an unknown
 // endpoint any start up to now.
--- a/internal/directory/version.go
+++ b/internal/directory/version.go
@@ -21,14 +21,17 @@
 // Version returns the version of the entry; its service is "" if that is unknown.
 func (e Entry) Version() Version { return Version{Service: e.Service, Software: e.Software} }
 
-// HasVersion reports whether an endpoint has the version of the entry, the entry's own
-// endpoint first.
+// HasVersion reports whether an endpoint that has announced itself within entryTTL before
+// the entry has the entry's version.
 func (d *Directory) HasVersion(e Entry) bool {
-	if held, ok := d.entries[e.ID]; ok && held.Version() == e.Version() {
+	has := func(r *record) bool {
+		return r.Version() == e.Version() && e.LastSeen.Sub(r.LastSeen) < entryTTL
+	}
+	if held, ok := d.entries[e.ID]; ok && has(held) {
 		return true
 	}
 	for _, r := range d.entries {
-		if r.Version() == e.Version() {
+		if has(r) {
 			return true
 		}
 	}
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -61,6 +61,8 @@
 	// quorum uses it.
 	quorumLog *stateserver.QuorumLogger
 	quorum    *peer.Quorum
+	// commit commits a command of this host through the quorum.
+	commit func(ctx context.Context, command *wire.Command) error
 	// tables decides whether a router without a routing table gets that of this host.
 	tables *tableChecks
 	// saves saves the endpoints.
@@ -129,12 +131,14 @@
 	}
 	c.server = &quorumServer{Server: stateserver.New(c.replica, c.store), recordsSoftware: c.recordsSoftware}
 	c.quorum = peer.NewDynamicQuorum(d.dialer, d.settings.PeerAddress(), c.otherHosts, c.server)
+	c.commit = c.execute
 	c.done.Go(func() { c.watchReplica() })
 	c.done.Go(func() { c.tables.run(ctx, c.checkTable) })
 	c.done.Go(func() { runPeriodically(ctx, peerSyncPeriod, c.syncPeers) })
 	c.done.Go(func() { runPeriodically(ctx, repairPeriod, c.repair) })
 	c.done.Go(func() { c.records.run(ctx, recordRetryPeriod, c.recordNewcomers) })
 	c.done.Go(func() { runPeriodically(ctx, softwarePeriod, c.maintainSoftware) })
+	c.done.Go(func() { c.followDepartures(ctx) })
 	c.done.Go(func() {
 		c.restoreEndpoints(ctx)
 		c.saves.run(ctx, savePeriod, c.saver())
@@ -158,7 +162,7 @@
 func (c *control) drain() { c.draining.Store(true) }
 
 // Announce records an endpoint's announcement. An endpoint with a new software version is
-// in the directory only when that is recorded.
+// in the directory only when that is recorded. A departure is confirmed by the quorum.
 func (c *control) Announce(now time.Time, entry directory.Entry) (directory.Change, error) {
 	entry.LastSeen, entry.Region = now, c.settings.RegionOf(entry.Zone)
 	if err := entry.Validate(); err != nil {
@@ -174,7 +178,10 @@
 	c.newcomers.remove(entry.ID)
 	change := c.directory.Announce(entry)
 	c.mu.Unlock()
-	c.recordAnnounced(change, entry)
+	logEndpointChange(c.log, change, entry, "announcement")
+	if entry.Leaving {
+		return change, c.confirmDeparture(entry.ID, entry.Started)
+	}
 	return change, nil
 }
 
@@ -185,21 +192,14 @@
 		return directory.Stale, fmt.Errorf("departure: %w", err)
 	}
 	c.mu.Lock()
+	if started.IsZero() {
+		started = c.directory.Started(id)
+	}
 	c.newcomers.remove(id)
 	change := c.directory.Leave(now, id, started)
 	c.mu.Unlock()
-	c.recordAnnounced(change, directory.Entry{ID: id})
-	return change, nil
-}
-
-// recordAnnounced logs the change that an endpoint has announced. It waits until a
-// departure is saved, so that the endpoint is not in use again after a restart, but for
-// leaveSaveWait at most.
-func (c *control) recordAnnounced(change directory.Change, e directory.Entry) {
-	logEndpointChange(c.log, change, e, "announcement")
-	if change == directory.Left {
-		c.saves.await(leaveSaveWait)
-	}
+	logEndpointChange(c.log, change, directory.Entry{ID: id}, "announcement")
+	return change, c.confirmDeparture(id, started)
 }
 
 // Close stops the replica and waits for it.
--- a/internal/site/restore_test.go
+++ b/internal/site/restore_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,8 @@
 
 	"oleanderramp/internal/directory"
 	"oleanderramp/internal/settings"
+	"oleanderramp/internal/state"
+	"oleanderramp/internal/wire"
 )
 
 // restartedControl returns a control host whose endpoint e was saved before a restart.
@@ -21,6 +24,7 @@
 	return &control{
 		settings: &settings.Site{DataFolder: folder}, log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		directory: directory.New(), saves: newOnDemand(), firstSync: make(chan struct{}),
+		store: state.NewStore(state.Limits{}), commit: func(context.Context, *wire.Command) error { return nil },
 	}, e
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -55,7 +55,8 @@
 type Control interface {
 	// Announce records an endpoint's announcement. The region of the endpoint
 	// is derived from its zone. It returns an error, and records nothing, if a field
-	// can't be that of an endpoint.
+	// can't be that of an endpoint. That an endpoint leaves is known to the quorum when it
+	// returns; otherwise the error wraps ErrUnconfirmed.
 	Announce(now time.Time, entry directory.Entry) (directory.Change, error)
 	// Leave records that an endpoint leaves. started is the time of its start,
 	// and may be zero. The error is as that of Announce.
--- a/internal/site/software.go
+++ b/internal/site/software.go
@@ -50,6 +50,16 @@
 	}
 }
 
+// removeStarted removes the endpoint unless it has restarted since the start.
+func (n newcomers) removeStarted(id string, started time.Time) {
+	for _, entries := range n {
+		if e, ok := entries[id]; ok && !e.Started.After(started) {
+			n.remove(id)
+			return
+		}
+	}
+}
+
 // versions returns the versions that are to be recorded.
 func (n newcomers) versions() []directory.Version {
 	var list []directory.Version
@@ -98,6 +108,8 @@
 // recordSoftware commits that endpoints have the version. A leader of a former version of
 // this program knows no such records, which is no error: no router relies on them then.
 func (c *control) recordSoftware(ctx context.Context, version directory.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
 	err := c.commit(ctx, &wire.Command{Body: &wire.Command_RecordSoftware{RecordSoftware: &wire.RecordSoftware{
 		Service: version.Service, Software: version.Software,
 	}}})
@@ -110,10 +122,8 @@
 // errUnknownCommand is returned if the leader runs a version that lacks the command.
 var errUnknownCommand = errors.New("the leader does not know the command")
 
-// commit commits a command of this host within recordTimeout.
-func (c *control) commit(ctx context.Context, command *wire.Command) error {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
+// execute commits a command of this host through the quorum.
+func (c *control) execute(ctx context.Context, command *wire.Command) error {
 	c.quorum.PreferLeader(c.replica.Status().Leader().Host)
 	result, err := c.quorum.Execute(ctx, command)
 	if err != nil {
@@ -160,6 +170,8 @@
 	if c.absences == nil {
 		c.absences = make(absences)
 	}
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
 	for _, v := range c.absences.due(now, recorded, versions) {
 		// A rejected one is repeated if the version stays absent.
 		_ = c.commit(ctx, &wire.Command{Body: &wire.Command_ForgetSoftware{ForgetSoftware: &wire.ForgetSoftware{
--- a/internal/state/machine.go
+++ b/internal/state/machine.go
@@ -1,7 +1,7 @@
 // Package state implements the replicated state machine. Its commands change
 // bundles, at-most-once records, processes, fences, quarantined and suspected
-// digests, drained endpoints, the routing table, evacuated zones, software versions and the audit
-// trail.
+// digests, drained endpoints, the routing table, evacuated zones, software versions and departures
+// of endpoints, and the audit trail.
 //
 // A Machine is deterministic: machines that apply the same commands hold the
 // same state and return the same results. It doesn't read the system clock: its
@@ -38,6 +38,7 @@
 
 	evacuations *evacuationTable
 	software    *softwareTable
+	departures  *departureTable
 }
 
 // New returns an empty machine. All replicas must use the same limits.
@@ -56,6 +57,7 @@
 
 		evacuations: newEvacuationTable(),
 		software:    newSoftwareTable(),
+		departures:  newDepartureTable(),
 	}
 }
 
@@ -108,6 +110,8 @@
 		return m.recordSoftware(body.RecordSoftware)
 	case *wire.Command_ForgetSoftware:
 		return m.forgetSoftware(body.ForgetSoftware)
+	case *wire.Command_RecordDeparture:
+		return m.recordDeparture(body.RecordDeparture)
 	default:
 		return m.executeAudited(command)
 	}
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -40,6 +40,7 @@
 		Routing:      m.Routing(),
 		Evacuation:   m.Evacuation(),
 		Software:     m.Software(),
+		Departures:   m.departures.snapshot(),
 	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snapshot)
 	if err != nil {
@@ -108,6 +109,7 @@
 	m.routing = routingTable{version: snapshot.GetRouting().GetVersion(), document: snapshot.GetRouting().GetDocument()}
 	m.evacuations.restore(snapshot.GetEvacuation())
 	m.software.restore(snapshot.GetSoftware())
+	m.departures.restore(snapshot.GetDepartures())
 }
 
 func (r *bundleRegistry) restore(snapshot *wire.Snapshot) error {
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -23,8 +23,8 @@
 }
 
 // Changed returns a channel that is closed at the next change of the bundles,
-// the drained endpoints, the quarantined or suspected digests, the routing table
-// or the evacuated zones. To miss no change, get the channel first and read the state after that.
+// the drained endpoints, the quarantined or suspected digests, the routing table,
+// the evacuated zones or the departures of endpoints. To miss no change, get the channel first and read the state after that.
 func (s *Store) Changed() <-chan struct{} {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -172,3 +172,17 @@
 	defer s.mu.RUnlock()
 	return s.machine.Software()
 }
+
+// HasDeparture calls Machine.HasDeparture.
+func (s *Store) HasDeparture(endpoint string, startedMS int64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.HasDeparture(endpoint, startedMS)
+}
+
+// DeparturesSince calls Machine.DeparturesSince.
+func (s *Store) DeparturesSince(revision uint64) []*wire.RecordedDeparture {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.machine.DeparturesSince(revision)
+}
