Bound the memory of large events that endpoints have not completed

What callers saw: engines sent bytes that were no event, without end.

Cause: each call kept up to 1 MiB of an incomplete event, in a buffer that doubles, and a router counts 64 KB for a request in progress. What clients send has a budget for the process; what endpoints send had a bound for each call only.

Evidence: 15 MB in calm; the memory grew only while the engines were in trouble, at their rate. Ruled out: endless heads, interim answers, plain and error bodies, chunk extensions and trailers, which end by themselves (TestEndlessAnswerEnds, passes before the change too).

Fix: beyond 16 KB, an incomplete event takes from a pool of the client, a sixteenth of the process's memory; without room the call fails as one with too large an event. The sum no longer depends on how many calls there are.

Tests: TestLargeEventsAreBoundedTogether fails before the change.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -184,7 +184,8 @@
 
 func (d *Daemon) newClient() *endpoint.Client {
 	return endpoint.NewClient(endpoint.ClientConfig{
-		DialTimeout: time.Duration(d.settings.Limits.EndpointDialTimeoutMS) * time.Millisecond,
+		DialTimeout:    time.Duration(d.settings.Limits.EndpointDialTimeoutMS) * time.Millisecond,
+		MaxEventMemory: memgate.EventBytes(d.settings.Limits.MemoryMB),
 	})
 }
 
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -136,6 +136,7 @@
 // attempt makes one request and receives its response.
 func (c *Client) attempt(ctx context.Context, call Call, sink Sink, transport *http.Transport) (*attempt, *CallError) {
 	a := newAttempt(ctx, c.config.Headers, call, sink)
+	a.eventMemory = c.eventMemory
 	defer a.release()
 	return a, a.run(c.config, transport)
 }
@@ -178,10 +179,12 @@
 type attempt struct {
 	// headers is ClientConfig.Headers.
 	headers Headers
-	call    Call
-	sink    Sink
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
+	// eventMemory is that of the client.
+	eventMemory *memoryPool
+	call        Call
+	sink        Sink
+	ctx         context.Context
+	cancel      context.CancelCauseFunc
 	// silence runs while the attempt waits for the endpoint.
 	silence *silenceTimer
 	start   time.Time
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -65,6 +65,10 @@
 	MaxHeaderBytes int64
 	// MaxEventBytes is the maximum size of one event of a stream.
 	MaxEventBytes int
+	// MaxEventMemory is the maximum memory in bytes for large events that the endpoints of
+	// all calls together have not completed. Beyond it, a call that needs more fails with
+	// WrongAnswer, or TooLarge unless Raw is set. 0 means no bound.
+	MaxEventMemory int64
 	// MaxCancels is the maximum number of concurrent cancel calls. Beyond it, an
 	// endpoint can detect a cancelled stream only by its closed connection.
 	MaxCancels int
@@ -123,6 +127,8 @@
 	probes *http.Transport
 	// cancelSlots is a semaphore that limits the concurrent cancel calls.
 	cancelSlots chan struct{}
+	// eventMemory is for the large events that endpoints have not completed.
+	eventMemory *memoryPool
 
 	mu     sync.Mutex
 	closed bool
@@ -141,6 +147,7 @@
 	c := &Client{
 		config:          config,
 		cancelSlots:     make(chan struct{}, config.MaxCancels),
+		eventMemory:     &memoryPool{limit: config.MaxEventMemory},
 		poolBypassUntil: make(map[string]time.Time),
 	}
 	c.pooled = newTransport(config)
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -10,7 +10,8 @@
 // receiveStream forwards the complete events of a stream to the sink, up to and
 // including [DONE].
 func (a *attempt) receiveStream(config ClientConfig, body io.Reader) *CallError {
-	scanner := eventScanner{maxBytes: config.MaxEventBytes}
+	scanner := eventScanner{buffer: a.eventBuffer(config)}
+	defer scanner.buffer.release()
 	buffer := make([]byte, readBytes)
 	for progress := true; ; {
 		n, ended, callErr := a.read(body, buffer, progress)
@@ -35,31 +36,38 @@
 	}
 }
 
+func (a *attempt) eventBuffer(config ClientConfig) eventBuffer {
+	return eventBuffer{maxBytes: config.MaxEventBytes, pool: a.eventMemory}
+}
+
 // receiveRawStream forwards the complete events of a stream to the sink until
 // its body ends. An incomplete event at the end is not forwarded.
 func (a *attempt) receiveRawStream(config ClientConfig, body io.Reader) *CallError {
-	var pending []byte
+	events := a.eventBuffer(config)
+	defer events.release()
 	buffer := make([]byte, rawReadBytes)
 	for progress := true; ; {
 		n, ended, callErr := a.read(body, buffer, progress)
-		pending = append(pending, buffer[:n]...)
-		complete, count := completeEvents(pending)
-		progress = hasField(pending[:complete])
-		if failed := a.forward(pending[:complete]); failed != nil {
+		if err := events.add(buffer[:n]); err != nil {
+			return a.newError(WrongAnswer, err)
+		}
+		complete, count := completeEvents(events.pending)
+		progress = hasField(events.pending[:complete])
+		if failed := a.forward(events.pending[:complete]); failed != nil {
 			return failed
 		}
 		a.result.Events += count
-		pending = append(pending[:0], pending[complete:]...)
+		tooLarge := events.discard(complete)
 		switch {
 		case callErr != nil:
 			return callErr
-		case ended && len(pending) > 0:
+		case ended && len(events.pending) > 0:
 			return a.newError(Truncated, errors.New("the stream ended within an event"))
 		case ended:
 			a.result.Complete = true
 			return nil
-		case len(pending) > config.MaxEventBytes:
-			return a.newError(WrongAnswer, errEventTooLarge)
+		case tooLarge != nil:
+			return a.newError(WrongAnswer, tooLarge)
 		}
 	}
 }
@@ -123,9 +131,7 @@
 
 // eventScanner splits a stream into complete server-sent events.
 type eventScanner struct {
-	maxBytes int
-	// pending holds the bytes after the last complete event.
-	pending []byte
+	buffer eventBuffer
 	// events is the number of complete events with data, not counting [DONE].
 	events int
 	// contentEvents is the number of events whose data is a chunk with content.
@@ -138,26 +144,25 @@
 	done bool
 }
 
-var errEventTooLarge = errors.New("an event of the stream is too large")
-
 // add appends the next bytes of the stream and returns the events that they
 // complete. After [DONE] it returns no more events. The result is valid until
 // the next call.
 func (s *eventScanner) add(p []byte) ([]byte, error) {
-	s.pending = append(s.pending, p...)
-	end := 0
+	if err := s.buffer.add(p); err != nil {
+		return nil, err
+	}
+	pending, end := s.buffer.pending, 0
 	for !s.done {
-		size := eventLen(s.pending[end:])
+		size := eventLen(pending[end:])
 		if size == 0 {
 			break
 		}
-		s.processEvent(s.pending[end : end+size])
+		s.processEvent(pending[end : end+size])
 		end += size
 	}
-	complete := bytes.Clone(s.pending[:end])
-	s.pending = append(s.pending[:0], s.pending[end:]...)
-	if !s.done && len(s.pending) > s.maxBytes {
-		return complete, errEventTooLarge
+	complete := bytes.Clone(pending[:end])
+	if err := s.buffer.discard(end); err != nil && !s.done {
+		return complete, err
 	}
 	return complete, nil
 }
--- a/internal/endpoint/stream_test.go
+++ b/internal/endpoint/stream_test.go
@@ -31,7 +31,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			s := eventScanner{maxBytes: 1000}
+			s := eventScanner{buffer: eventBuffer{maxBytes: 1000}}
 			complete, err := s.add([]byte(test.input))
 			qt.Assert(t, err, qt.IsNil)
 			want := test.complete
@@ -47,7 +47,7 @@
 }
 
 func TestEventScannerBoundsOneEvent(t *testing.T) {
-	s := eventScanner{maxBytes: 100}
+	s := eventScanner{buffer: eventBuffer{maxBytes: 100}}
 	_, err := s.add(bytes.Repeat([]byte("x"), 101))
 	qt.Check(t, err, qt.Equals, errEventTooLarge)
 }
@@ -81,12 +81,12 @@
 }
 
 func checkSplit(t fatal, input []byte, read func(left int) int) {
-	single := eventScanner{maxBytes: 1 << 20}
+	single := eventScanner{buffer: eventBuffer{maxBytes: 1 << 20}}
 	want, err := single.add(input)
 	if err != nil {
 		return
 	}
-	split := eventScanner{maxBytes: 1 << 20}
+	split := eventScanner{buffer: eventBuffer{maxBytes: 1 << 20}}
 	var got []byte
 	for rest := input; len(rest) > 0; {
 		n := read(len(rest))
--- a/internal/site/router.go
+++ b/internal/site/router.go
@@ -14,6 +14,7 @@
 	"oleanderramp/internal/endpoint"
 	"oleanderramp/internal/httpserver"
 	"oleanderramp/internal/locality"
+	"oleanderramp/internal/memgate"
 	"oleanderramp/internal/peer"
 	"oleanderramp/internal/settings"
 	"oleanderramp/internal/telemetry"
@@ -177,6 +178,7 @@
 		cursors: make(map[string]syncCursor), primaryFailures: make(map[string]time.Time), sentLoads: newSentLoads(), software: newSoftwareReads(),
 		client: endpoint.NewClient(endpoint.ClientConfig{
 			DialTimeout: endpointDialTimeout, IdleTimeout: endpointIdleTimeout, MaxIdle: maxIdleConnections, Headers: d.adapter.Headers(), KeepAlive: endpointKeepAlive,
+			MaxEventMemory: memgate.EventBytes(d.settings.MemoryMB),
 		}),
 	}
 	if d.settings.LimitsColdEndpoints() {
