Count unfinished headers towards the memory budget

Cause: a connection counted 24 KB whatever had arrived of its header, which takes some 36 KB more with 253 fields. No claim of the kind Header was ever opened.

Fix: what arrives of a header beyond 4 KB is claimed from the budget, which lets it wait for 0.25 s, ends clients without progress, or refuses it with 503, not run, with a Retry-After.

--- a/internal/httpserver/acceptedconn.go
+++ b/internal/httpserver/acceptedconn.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"oleanderramp/internal/edge"
-	"oleanderramp/internal/membudget"
 	"oleanderramp/internal/memgate"
 )
 
@@ -66,6 +65,8 @@
 	// header counts the header that arrives; inHeader is true until all of it has.
 	header   headerScan
 	inHeader bool
+	// headerClaim is the memory of the header. Only the reader makes it grow.
+	headerClaim headerClaim
 	// ended is true once the connection is to be closed for others.
 	ended bool
 	// writeUntil is the handler's deadline for writes, and writeSet the one in force;
@@ -124,6 +125,7 @@
 
 // setIdle marks the connection as idle since the end of a request.
 func (c *acceptedConn) setIdle(now time.Time) {
+	c.releaseHeader(false)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleSince, c.begun, c.first = now, c.readLast, false
@@ -139,6 +141,7 @@
 	c.idleSince, c.inHeader = time.Time{}, false
 	if c.clients == nil || !c.clients.EvictActive {
 		c.claim.SetEvictable(false)
+		c.headerClaim.claim.SetEvictable(false)
 	}
 }
 
@@ -213,7 +216,8 @@
 }
 
 // checkHeader counts what has arrived of a header. A request whose header is over its
-// bounds is refused, and the read fails, so that the server closes the connection.
+// bounds, or for which there is no memory, is refused, and the read fails, so that the
+// server closes the connection.
 func (c *acceptedConn) checkHeader(p []byte, err error) (int, error) {
 	if len(p) == 0 || c.clients == nil {
 		return len(p), err
@@ -226,21 +230,21 @@
 	c.header.add(p)
 	c.inHeader = !c.header.done
 	reason, over := c.clients.overBounds(&c.header)
+	missing := c.headerClaim.missing(c.header.memory())
 	c.mu.Unlock()
-	if !over {
-		return len(p), err
+	switch {
+	case over:
+		return c.refuseHeader(reason)
+	case missing > 0 && c.claimHeader(missing) != nil:
+		return c.refuseHeader(memgate.NoMemory)
 	}
-	c.clients.Gate.Ended(reason, holderOf(c), membudget.Header)
-	_, _ = c.Write(headerRefusal(reason)) // The caller may be gone.
-	// net/http answers other errors than those of reads itself.
-	return 0, &net.OpError{Op: "read", Net: "tcp", Err: errHeaderOverBounds}
+	return len(p), err
 }
 
-var errHeaderOverBounds = errors.New("the header is over its bounds")
-
 // Close closes the connection and releases its memory. If the connection is to be reset,
 // no end of TLS is sent before, which would make the answer look complete.
 func (c *acceptedConn) Close() error {
+	c.releaseHeader(true)
 	c.claim.Close()
 	if socket, ok := c.socket.(io.Closer); ok && c.resets.Load() {
 		return socket.Close()
--- a/internal/httpserver/clients.go
+++ b/internal/httpserver/clients.go
@@ -46,12 +46,16 @@
 	return memgate.HeaderTooLarge, limit > 0 && h.bytes > limit+headerSlackBytes
 }
 
-// headerRefusal returns the whole answer to a request whose header is over its bounds.
+// headerRefusal returns the whole answer to a request whose header is over its bounds, or
+// for which there is no memory.
 func headerRefusal(reason memgate.Reason) []byte {
-	const status = http.StatusRequestHeaderFieldsTooLarge
-	body := fmt.Sprintf(`{"error":{"code":%q,"message":"the header of the request is over its bounds","outcome":"not_run"}}`, reason)
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		status, http.StatusText(status), len(body), body)
+	status, message, retry := http.StatusRequestHeaderFieldsTooLarge, "the header of the request is over its bounds", ""
+	if reason == memgate.NoMemory {
+		status, message, retry = http.StatusServiceUnavailable, "there is no memory for the header of the request", "Retry-After: 1\r\n"
+	}
+	body := fmt.Sprintf(`{"error":{"code":%q,"message":%q,"outcome":"not_run"}}`, reason, message)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%sConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), retry, len(body), body)
 }
 
 // holderOf returns the address of a connection's client without its port.
--- a/internal/httpserver/clients_test.go
+++ b/internal/httpserver/clients_test.go
@@ -22,7 +22,12 @@
 // clientsServer starts a server with bounds of its clients, and returns its address and
 // budget.
 func clientsServer(c *qt.C, hard int, handler http.HandlerFunc) (string, *memgate.Gate) {
-	gate := memgate.New(membudget.Config{Bytes: 64 << 20, SmallBytes: 192 << 10, StallTime: 100 * time.Millisecond},
+	return budgetServer(c, 64<<20, hard, handler)
+}
+
+// budgetServer is clientsServer with the budget in bytes.
+func budgetServer(c *qt.C, budget int64, hard int, handler http.HandlerFunc) (string, *memgate.Gate) {
+	gate := memgate.New(membudget.Config{Bytes: budget, SmallBytes: 192 << 10, StallTime: 100 * time.Millisecond},
 		&log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	open := NewConnections(Limits{
 		Soft: 100, Hard: hard, ReadHeaderTimeout: time.Minute, IdleTimeout: func() time.Duration { return time.Minute },
