Send no request late in a planned stop, and answer what is cut

What callers see (reported by another operator of such a system): requests that came late in the grace of a planned stop were passed on and cut without an answer.

Cause: whether a router that shuts down still takes a request was asked before its body was read, and not again. One whose body came slowly, or that waited for an endpoint, was sent however little of the grace was left. What was in progress at the end lost its connection, also if nothing had been answered yet.

Fix: asked again before the first attempt and after the wait for an endpoint; the answer is 503, not run. At the end of the grace the requests without an answer get 504 if an endpoint may have run them, else 503.

Tests: TestLateRequestIsNotSent fails before the change. TestAbortedRequestGetsAnAnswer tests Forwarder.Abort, which is new.

--- a/internal/edge/attempt.go
+++ b/internal/edge/attempt.go
@@ -30,13 +30,20 @@
 	f.earnRetry(t.service)
 	var callErr *endpoint.CallError
 	for {
+		if callErr == nil && f.refusing.Load() {
+			return drainingFailure() // Its body has only just arrived.
+		}
 		placed, refused := f.place(ctx, t, callErr != nil)
 		if refused != nil {
 			return f.placementFailed(ctx, t, refused, callErr)
 		}
 		if f.cfg.CallerDisconnected(ctx) {
 			placed.reservation.end(time.Now(), balance.Abandoned)
-			return callerGone()
+			return f.interrupted(ctx, t)
+		}
+		if callErr == nil && f.refusing.Load() {
+			placed.reservation.end(time.Now(), balance.Abandoned)
+			return drainingFailure() // It has waited for the endpoint.
 		}
 		placed, callErr = f.attempt(ctx, t, placed)
 		if callErr == nil {
@@ -216,7 +223,7 @@
 func (f *Forwarder) placementFailed(ctx context.Context, t *task, refused *failure, previous *endpoint.CallError) *failure {
 	switch {
 	case ctx.Err() != nil:
-		return callerGone()
+		return f.interrupted(ctx, t)
 	case previous != nil && previous.Kind == endpoint.EndpointError:
 		return f.finalFailure(ctx, t, previous)
 	case t.mayHaveRun:
@@ -230,7 +237,7 @@
 func (f *Forwarder) finalFailure(ctx context.Context, t *task, err *endpoint.CallError) *failure {
 	switch {
 	case ctx.Err() != nil || errors.Is(err, endpoint.ErrCallerDisconnected):
-		return callerGone()
+		return f.interrupted(ctx, t)
 	case !time.Now().Before(t.deadline) && t.mayHaveRun:
 		return &failure{status: 504, outcome: OutcomeFailed, code: CodeTimeout, message: "no complete answer before the deadline"}
 	case err.Kind == endpoint.EndpointError && !err.BodyCut && !t.answer.partlySent():
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -58,8 +58,11 @@
 	active   atomic.Int64
 	draining atomic.Bool
 	refusing atomic.Bool
-	crashes  *crashTracker
-	streams  *streamTracker
+	// aborted ends when abort is called.
+	aborted context.Context
+	abort   context.CancelFunc
+	crashes *crashTracker
+	streams *streamTracker
 	// shedLines limits the log lines about requests refused because of overload.
 	shedLines lineLimit
 	// loggedLeaving is used by LogLeaving alone.
@@ -81,6 +84,7 @@
 		cfg: cfg, crashes: newCrashTracker(cfg.Log), streams: newStreamTracker(),
 		budget: retry.New(retry.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 	}
+	f.aborted, f.abort = context.WithCancel(context.Background())
 	if cfg.Admission != nil {
 		cfg.Admission.lag = f.lag
 	}
@@ -121,13 +125,6 @@
 	f.budget.RecordRequest(service)
 }
 
-// Drain makes all further answers close their connections.
-func (f *Forwarder) Drain() { f.draining.Store(true) }
-
-// Refuse makes the forwarder refuse all further requests, because they could not
-// be completed before the daemon stops.
-func (f *Forwarder) Refuse() { f.refusing.Store(true) }
-
 // Active returns the number of requests in progress.
 func (f *Forwarder) Active() int { return int(f.active.Load()) }
 
--- a/internal/edge/handler.go
+++ b/internal/edge/handler.go
@@ -53,7 +53,7 @@
 		failed = f.findOrigin(r.Context(), t)
 	}
 	if failed == nil {
-		failed = f.run(r.Context(), t)
+		failed = f.runUntilAborted(r.Context(), t)
 	}
 	f.finishAnswer(r.Context(), t, failed)
 }
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -37,7 +37,7 @@
 // gets. A request stands for those on connections rejected before it, too.
 func (f *Forwarder) rejectEarly(now time.Time, t *task, resolved bool) *failure {
 	if f.refusing.Load() {
-		return &failure{status: 503, outcome: OutcomeNotRun, code: CodeDraining, retryAfter: drainingRetryAfter, message: "the daemon is shutting down"}
+		return drainingFailure()
 	}
 	reason := f.overloaded(now, t, resolved)
 	if reason == "" {
--- a/internal/site/shutdown.go
+++ b/internal/site/shutdown.go
@@ -20,6 +20,8 @@
 	// closeDrainTimeout is how long Close waits for the calls in progress at the
 	// servers.
 	closeDrainTimeout = 300 * time.Millisecond
+	// abortTimeout is how long the callers of requests that are aborted are waited for.
+	abortTimeout = 200 * time.Millisecond
 	// closeReserve is the part of the shutdown timeout reserved for closing.
 	closeReserve = 700 * time.Millisecond
 )
@@ -48,10 +50,22 @@
 	aborted := max(d.router.forwarder.Active(), d.router.conns.Busy())
 	if aborted > 0 {
 		event.RequestsAborted.Log(d.log, event.Fields{"host": d.settings.Host, "requests": aborted})
+		d.abortRequests()
 	}
 	return aborted
 }
 
+// abortRequests ends the requests in progress, and waits a short time until those without
+// an answer have got one.
+func (d *Daemon) abortRequests() {
+	ctx, cancel := context.WithTimeout(context.Background(), abortTimeout)
+	defer cancel()
+	d.router.forwarder.Abort()
+	if d.callers != nil {
+		d.callers.Drain(ctx)
+	}
+}
+
 // awaitForwarded waits until no request is forwarded any more, but at least for
 // deregistrationDelay since the start, after which further requests are refused.
 // It returns early if the context ends.
