--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -30,8 +30,6 @@
 	clockSkew = time.Second
 	// slots is the announced number of concurrent requests of an endpoint.
 	slots = 32
-	// softwareVersions is the number of software versions that serve side by side.
-	softwareVersions = 2
 	// drainTime is how long an endpoint continues to serve after its departure
 	// was acknowledged: maxDrainDelay, within which routers must stop sending
 	// requests, plus a margin.
@@ -65,8 +63,8 @@
 // incarnation is one start of an endpoint.
 type incarnation struct {
 	id, service string
-	// software is the version of its software: of an endpoint that starts again, and
-	// of every second one, the other of two.
+	// software is the version of its software: v1 at first, so that each version that an
+	// endpoint starts again with is new to the site among faults.
 	software  string
 	startTime time.Time
 	// sequence is the sequence number of the last announcement.
@@ -101,7 +99,7 @@
 	count := e.startCount.Add(1)
 	r := &incarnation{
 		id: fmt.Sprintf("e%d-%d", e.number, count), service: service, startTime: startTime, stop: cancel,
-		software: fmt.Sprint("v", (int64(e.number)+count)%softwareVersions+1),
+		software: fmt.Sprint("v", count),
 	}
 	r.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) { e.serve(r, w, request) })}
 	e.mu.Lock()
