Gate a version unless an endpoint in use has it; spare hopeless reads

An endpoint that announced first that it leaves made its software version count as one in use, without a record: the next endpoint with it was handed out at once. Only endpoints that get new work, heard of within a minute, count now (TestHasVersion). A delayed announcement of an earlier start no longer removes a newcomer. A router that no control host has answered for 2 s does not ask the quorum for versions, which only made the caller wait.

--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -189,3 +189,21 @@
 	c.Check(got, qt.DeepEquals, []string{"leaver", "needed"})
 	c.Check(d.Since(revision, directory.All), qt.HasLen, 3)
 }
+
+// TestHasVersion guards against a version that counts as in use although its endpoints only
+// leave, or were not heard of for long: the quorum may have forgotten it.
+func TestHasVersion(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1_000_000, 0)
+	entry := func(id, software string, leaving bool, at time.Time) directory.Entry {
+		return directory.Entry{ID: id, Service: "s", Software: software, Address: "1.2.3.4:5", Sequence: 1, Leaving: leaving, LastSeen: at}
+	}
+	d := directory.New()
+	d.Announce(entry("a", "v1", false, now))
+	d.Announce(entry("b", "v2", true, now))
+	c.Check(d.HasVersion(entry("x", "v1", false, now)), qt.IsTrue)
+	c.Check(d.HasVersion(entry("a", "v1", false, now)), qt.IsTrue)
+	c.Check(d.HasVersion(entry("b", "v2", false, now)), qt.IsFalse)
+	c.Check(d.HasVersion(entry("x", "v3", false, now)), qt.IsFalse)
+	c.Check(d.HasVersion(entry("x", "v1", false, now.Add(time.Minute))), qt.IsFalse)
+}
--- a/internal/directory/version.go
+++ b/internal/directory/version.go
@@ -21,11 +21,11 @@
 // Version returns the version of the entry; its service is "" if that is unknown.
 func (e Entry) Version() Version { return Version{Service: e.Service, Software: e.Software} }
 
-// HasVersion reports whether an endpoint that has announced itself within entryTTL before
-// the entry has the entry's version.
+// HasVersion reports whether an endpoint that may get new work, and has announced itself
+// within entryTTL before the entry, has the entry's version.
 func (d *Directory) HasVersion(e Entry) bool {
 	has := func(r *record) bool {
-		return r.Version() == e.Version() && e.LastSeen.Sub(r.LastSeen) < entryTTL
+		return !r.Leaving && r.Version() == e.Version() && e.LastSeen.Sub(r.LastSeen) < entryTTL
 	}
 	if held, ok := d.entries[e.ID]; ok && has(held) {
 		return true
--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -17,6 +17,10 @@
 // news of it may still be on its way.
 const unknownStreamRetryAfter = 300 * time.Millisecond
 
+// maxUnsynced is how long after a control host last answered this router still asks the
+// quorum for the versions of a service: it would only make the caller wait.
+const maxUnsynced = 2 * time.Second
+
 // streamTracker knows the origins of the streams that this router has forwarded, and
 // the software versions of the services. It is safe for concurrent use.
 type streamTracker struct {
@@ -116,7 +120,7 @@
 // version is confirmed after the caller came.
 func (f *Forwarder) onlyOrigin(t *task) (streams.Origin, bool) {
 	start := time.Now()
-	if f.cfg.OnlySoftware == nil || f.streams.mixed(start, t.service) {
+	if f.cfg.OnlySoftware == nil || f.cfg.UnsyncedFor() >= maxUnsynced || f.streams.mixed(start, t.service) {
 		return streams.Origin{}, false
 	}
 	software, only := f.cfg.OnlySoftware(t.service)
--- a/internal/site/control.go
+++ b/internal/site/control.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -175,7 +176,7 @@
 		c.records.want()
 		return directory.Stale, nil
 	}
-	c.newcomers.remove(entry.ID)
+	c.newcomers.remove(entry.ID, entry.Started)
 	change := c.directory.Announce(entry)
 	c.mu.Unlock()
 	logEndpointChange(c.log, change, entry, "announcement")
@@ -195,7 +196,7 @@
 	if started.IsZero() {
 		started = c.directory.Started(id)
 	}
-	c.newcomers.remove(id)
+	c.newcomers.remove(id, cmp.Or(started, now))
 	change := c.directory.Leave(now, id, started)
 	c.mu.Unlock()
 	logEndpointChange(c.log, change, directory.Entry{ID: id}, "announcement")
--- a/internal/site/departures.go
+++ b/internal/site/departures.go
@@ -55,7 +55,7 @@
 func (c *control) addDeparture(now time.Time, d *wire.RecordedDeparture) {
 	started := time.UnixMilli(d.GetStartedMs())
 	c.mu.Lock()
-	c.newcomers.removeStarted(d.GetEndpoint(), started)
+	c.newcomers.remove(d.GetEndpoint(), started)
 	change := c.directory.Leave(now, d.GetEndpoint(), started)
 	c.mu.Unlock()
 	logEndpointChange(c.log, change, directory.Entry{ID: d.GetEndpoint()}, "replicated log")
--- a/internal/site/software.go
+++ b/internal/site/software.go
@@ -33,16 +33,19 @@
 type newcomers map[directory.Version]map[string]directory.Entry
 
 func (n newcomers) add(e directory.Entry) {
-	n.remove(e.ID)
+	n.remove(e.ID, e.Started)
 	if n[e.Version()] == nil {
 		n[e.Version()] = make(map[string]directory.Entry)
 	}
 	n[e.Version()][e.ID] = e
 }
 
-// remove removes the endpoint, which leaves or has another version now.
-func (n newcomers) remove(id string) {
+// remove removes the endpoint unless it has started again after the given start.
+func (n newcomers) remove(id string, started time.Time) {
 	for version, entries := range n {
+		if e, ok := entries[id]; !ok || e.Started.After(started) {
+			continue
+		}
 		delete(entries, id)
 		if len(entries) == 0 {
 			delete(n, version)
@@ -50,16 +53,6 @@
 	}
 }
 
-// removeStarted removes the endpoint unless it has restarted since the start.
-func (n newcomers) removeStarted(id string, started time.Time) {
-	for _, entries := range n {
-		if e, ok := entries[id]; ok && !e.Started.After(started) {
-			n.remove(id)
-			return
-		}
-	}
-}
-
 // versions returns the versions that are to be recorded.
 func (n newcomers) versions() []directory.Version {
 	var list []directory.Version
@@ -69,8 +62,8 @@
 	return list
 }
 
-// awaitsRecord reports whether the entry brings a software version that no endpoint in the
-// directory has. The caller holds c.mu.
+// awaitsRecord reports whether the entry brings a software version that no endpoint in use
+// has. The caller holds c.mu.
 func (c *control) awaitsRecord(e directory.Entry) bool {
 	return !e.Leaving && e.Service != "" && !c.directory.HasVersion(e)
 }
