Record versions and departures only in a quorum of full size

A quorum that still grows has fewer voters than survive the tolerated losses. As for routing tables, a departure is acknowledged, and a version recorded, only once there are enough.

--- a/internal/site/software.go
+++ b/internal/site/software.go
@@ -115,8 +115,12 @@
 // errUnknownCommand is returned if the leader runs a version that lacks the command.
 var errUnknownCommand = errors.New("the leader does not know the command")
 
-// execute commits a command of this host through the quorum.
+// execute commits a command of this host through the quorum, once that has enough voters
+// for the command to survive the tolerated losses.
 func (c *control) execute(ctx context.Context, command *wire.Command) error {
+	if err := c.waitForVoters(ctx); err != nil {
+		return err
+	}
 	c.quorum.PreferLeader(c.replica.Status().Leader().Host)
 	result, err := c.quorum.Execute(ctx, command)
 	if err != nil {
