--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -28,7 +28,7 @@
 type caseFunc func(c *play) (bool, error)
 
 var cases = map[string]caseFunc{
-	"parts": partsCase, "nominated": nominatedCase, "restarts": restartsCase, "together": togetherCase, "slashes": slashesCase, "slow": slowCase, "expiry": expiryCase,
+	"parts": partsCase, "crash": crashCase, "slow": slowCase, "nominated": nominatedCase, "slashes": slashesCase,
 }
 
 // play is a case that is being played.
--- a/review/stand-2/parts.go
+++ b/review/stand-2/parts.go
@@ -27,20 +27,12 @@
 	if err := c.begin(siteConfig{controls: 5, routers: 2, routerMemoryMB: 284}); err != nil {
 		return false, err
 	}
-	if err := c.startServers(12, 3); err != nil {
+	if err := c.startServers(12, 3, streamAnswer(49)); err != nil {
 		return false, err
 	}
-	routes := []route{
-		{name: "r-prompts", prefix: "/lohu930/", kind: "streaming", service: "lm-pool", timeoutMS: 12000, targetMS: 1000, attempts: 2, resumable: true},
-		{name: "r-orders", prefix: "/puxa403/", kind: "safe", service: "orders-app", timeoutMS: ordersTimeoutMS, targetMS: 150, attempts: 2},
-	}
-	if err := c.site.configure(routes, []string{"lm-pool"}, []string{"orders-app"}, []string{"hule930", "tamo114"}); err != nil {
-		return false, err
-	}
-	if err := c.site.awaitReady(15 * time.Second); err != nil {
+	if err := c.configurePrompts("streaming"); err != nil {
 		return false, err
 	}
-	time.Sleep(5 * time.Second)
 	stop, ordinary := make(chan struct{}), make([]chan []*attempt, c.site.config.routers)
 	for i := range ordinary {
 		ordinary[i] = make(chan []*attempt, 1)
@@ -67,10 +59,26 @@
 	return wrong, nil
 }
 
+// configurePrompts puts a route for prompts, of the kind, and one for orders in force.
+func (c *play) configurePrompts(kind string) error {
+	routes := []route{
+		{name: "r-prompts", prefix: "/lohu930/", kind: kind, service: "lm-pool", timeoutMS: 12000, targetMS: 1000, attempts: 2, resumable: kind == "streaming"},
+		{name: "r-orders", prefix: "/puxa403/", kind: "safe", service: "orders-app", timeoutMS: ordersTimeoutMS, targetMS: 150, attempts: 2},
+	}
+	if err := c.site.configure(routes, []string{"lm-pool"}, []string{"orders-app"}, []string{"hule930", "tamo114"}); err != nil {
+		return err
+	}
+	if err := c.site.awaitReady(15 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(5 * time.Second)
+	return nil
+}
+
 // startServers starts so many model engines and order services.
-func (c *play) startServers(models, orders int) error {
+func (c *play) startServers(models, orders int, model workFunc) error {
 	for i := range models {
-		if err := c.engine(i, "lm-pool", 64, streamAnswer(49)).start(); err != nil {
+		if err := c.engine(i, "lm-pool", 64, model).start(); err != nil {
 			return err
 		}
 	}
--- a/review/stand-2/site.go
+++ b/review/stand-2/site.go
@@ -232,21 +232,6 @@
 	}
 }
 
-// restart stops the process as the provider does, and starts it again.
-func (p *process) restart() error {
-	p.site.rec.say("SIGTERM to %s", p.name)
-	p.signal(syscall.SIGTERM)
-	select {
-	case <-p.done:
-	case <-time.After(8 * time.Second):
-		p.site.rec.say("SIGKILL to %s after the grace time", p.name)
-		p.signal(syscall.SIGKILL)
-		<-p.done
-	}
-	p.site.rec.say("%s has ended and starts again", p.name)
-	return p.start(false)
-}
-
 // anonymousKB returns the resident memory of the process without that of files.
 func (p *process) anonymousKB() (size int) {
 	p.mu.Lock()
