Tell a reset during an upload from the end of an answer

What callers saw: an endpoint answered a long upload early, with a 200 without a length, sent a part of its body and reset the connection while the request was being written. The caller got that part as the complete answer.

Cause: Linux reports the loss of a connection once, to the read or to the write, whichever asks first. If that is the write, the read gets io.EOF, which ends an answer without a length. net/http mostly closes the connection before that read, as its write has failed, so that it was seen seldom.

Why this works: the kernel's report reaches exactly one of the two, so that a read without it means that the write has it. When a read of the connection gets io.EOF, the write in progress is ended and waited for, and the error of a failed write is returned in place of the end (RFC 9112, section 8). The client of calls, probes and cancels reads through it alone.

--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http/httptrace"
+	"os"
 	"sync"
 	"time"
 )
@@ -12,13 +14,18 @@
 var errAborted = errors.New("connection was aborted")
 
 // countingConn counts the writes on a connection, which shows whether any byte
-// of a call may have been sent.
+// of a call may have been sent, and tells a reset from the end of an answer. One goroutine
+// reads from it and one writes to it, as http.Transport does.
 type countingConn struct {
 	net.Conn
 
-	mu      sync.Mutex
-	writes  int
-	aborted bool
+	mu     sync.Mutex
+	writes int
+	// writeDone is closed when the last write has ended; nil before the first one.
+	writeDone chan struct{}
+	// writeErr is the error of the first write that the connection failed, nil if none.
+	writeErr error
+	aborted  bool
 	// spent is set once the connection may carry no further request.
 	spent bool
 	// allowed reports whether the next write may start; nil if it may.
@@ -30,7 +37,59 @@
 	if !c.beginWrite() {
 		return 0, errAborted
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.endWrite(err)
+	return n, err
+}
+
+// endWrite records the end of a write. That the write was given up on this side says nothing
+// about the connection.
+func (c *countingConn) endWrite(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	givenUp := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
+	if c.writeErr == nil && !givenUp {
+		c.writeErr = err
+	}
+	close(c.writeDone)
+}
+
+// Read returns io.EOF only if no write has failed. The kernel reports the loss of a
+// connection once, to the read or to the write, whichever asks first. If that is the write,
+// the read gets io.EOF, as if the peer had ended its answer. An answer that ends with its
+// connection is not complete after such an error (RFC 9112, section 8).
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		if failed := c.failedWrite(); failed != nil {
+			return n, failed
+		}
+	}
+	return n, err
+}
+
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+// failedWrite returns the error of a write that the connection failed, or nil. It ends the
+// write in progress, as the peer answers no further request: that write may have been told
+// of the loss already, and otherwise could wait for a peer that reads nothing.
+func (c *countingConn) failedWrite() error {
+	c.mu.Lock()
+	done := c.writeDone
+	c.mu.Unlock()
+	if done == nil {
+		return nil
+	}
+	select {
+	case <-done:
+	default:
+		_ = c.SetWriteDeadline(pastDeadline) // It fails only on a closed connection, which ends the write too.
+		<-done
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeErr
 }
 
 // beginWrite counts a write and reports whether it may start. If it may not, no later
@@ -46,6 +105,7 @@
 		return false
 	}
 	c.writes++
+	c.writeDone = make(chan struct{})
 	return true
 }
 
--- a/internal/endpoint/export_test.go
+++ b/internal/endpoint/export_test.go
@@ -10,19 +10,24 @@
 // PoolBypassed reports whether calls to the address use new connections.
 func (c *Client) PoolBypassed(address string) bool { return c.poolBypassed(address) }
 
-// CountReads counts the bytes that calls read from then on from their connections.
-func (c *Client) CountReads() *atomic.Int64 {
-	count := new(atomic.Int64)
+// WrapConns wraps the connections that calls open from then on.
+func (c *Client) WrapConns(wrap func(net.Conn) net.Conn) {
 	for _, transport := range []*http.Transport{c.pooled, c.fresh} {
 		dial := transport.DialContext
 		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
 			if counting, ok := conn.(*countingConn); ok {
-				counting.Conn = readCounter{counting.Conn, count}
+				counting.Conn = wrap(counting.Conn)
 			}
 			return conn, err
 		}
 	}
+}
+
+// CountReads counts the bytes that calls read from then on from their connections.
+func (c *Client) CountReads() *atomic.Int64 {
+	count := new(atomic.Int64)
+	c.WrapConns(func(conn net.Conn) net.Conn { return readCounter{conn, count} })
 	return count
 }
 
