Reject an answer whose status is none of HTTP

What callers saw: an endpoint's answer with a status of 600 to 999 reached the caller with that status, as the endpoint's own error. A status of 000, as reported, did not: it was answered 502 on each kind of route, and never joined to a stream. A probe that got 000 counted its endpoint as alive.

Cause: net/http takes any three digits for a status. The client rejected those below 200, and took all from 500 on for errors of the endpoint, which are passed on. RFC 9110, section 15: a status outside of 100 to 599 is invalid.

Why this works: the connection checks each head while its bytes arrive, before net/http does, so that no reader of calls, probes and cancels can go around it. A head that came before its request began is no answer to it. What net/http rejects itself is left to it.

--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -23,6 +23,9 @@
 // to the sink.
 func (a *attempt) receive(config ClientConfig, response *http.Response) *CallError {
 	a.result.Status = response.StatusCode
+	if !a.headScanned() {
+		return a.newError(WrongAnswer, errors.New("response began before the request"))
+	}
 	if err := a.checkRequestID(response.Header); err != nil {
 		return err
 	}
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -274,6 +274,8 @@
 		kind, err = Silent, ErrSilent
 	case cause != nil:
 		kind, err = CallerGone, cause
+	case errors.Is(err, errMalformedHead):
+		kind = WrongAnswer
 	}
 	if !conn.connected && kind != CallerGone {
 		kind = DialFailed
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -14,8 +14,8 @@
 var errAborted = errors.New("connection was aborted")
 
 // countingConn counts the writes on a connection, which shows whether any byte
-// of a call may have been sent, and tells a reset from the end of an answer. One goroutine
-// reads from it and one writes to it, as http.Transport does.
+// of a call may have been sent, tells a reset from the end of an answer, and checks the heads
+// of answers. One goroutine reads from it and one writes to it, as http.Transport does.
 type countingConn struct {
 	net.Conn
 
@@ -30,6 +30,8 @@
 	spent bool
 	// allowed reports whether the next write may start; nil if it may.
 	allowed func() bool
+	// head checks the head of the answer to the last request that has begun.
+	head headScanner
 }
 
 // Write counts the write before it starts.
@@ -54,12 +56,18 @@
 	close(c.writeDone)
 }
 
-// Read returns io.EOF only if no write has failed. The kernel reports the loss of a
+// Read fails with errMalformedHead, and returns no byte, from the first byte on that no head
+// of an answer may hold.
+//
+// It returns io.EOF only if no write has failed. The kernel reports the loss of a
 // connection once, to the read or to the write, whichever asks first. If that is the write,
 // the read gets io.EOF, as if the peer had ended its answer. An answer that ends with its
 // connection is not complete after such an error (RFC 9112, section 8).
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if malformed := c.scanHead(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if errors.Is(err, io.EOF) {
 		if failed := c.failedWrite(); failed != nil {
 			return n, failed
@@ -68,6 +76,12 @@
 	return n, err
 }
 
+func (c *countingConn) scanHead(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.scan(p)
+}
+
 // pastDeadline is a deadline that has passed.
 var pastDeadline = time.Unix(1, 0)
 
@@ -109,12 +123,13 @@
 	return true
 }
 
-// beginRequest makes the next write start only if allowed returns true. It returns the
-// number of writes so far.
+// beginRequest makes the next write start only if allowed returns true, and expects the head
+// of an answer from then on. It returns the number of writes so far.
 func (c *countingConn) beginRequest(allowed func() bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.allowed = allowed
+	c.head = headScanner{}
 	c.aborted = c.aborted || c.spent
 	return c.writes
 }
@@ -159,6 +174,19 @@
 	return a.conn.spent
 }
 
+// headScanned reports whether the head of the answer has arrived after its request had begun,
+// and so has been checked.
+func (a *attempt) headScanned() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn == nil {
+		return false
+	}
+	a.conn.mu.Lock()
+	defer a.conn.mu.Unlock()
+	return a.conn.head.part == headEnd
+}
+
 // gotConn is called when the attempt has a connection, before the request is written.
 func (a *attempt) gotConn(info httptrace.GotConnInfo) {
 	if a.call.OnConnected != nil {
--- a/internal/endpoint/raw_test.go
+++ b/internal/endpoint/raw_test.go
@@ -219,6 +219,7 @@
 		{"no incarnation", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", endpoint.Alive, false},
 		{"other incarnation", head + "8\r\n\r\n", endpoint.Restarted, true},
 		{"no answer", "", endpoint.Unresponsive, true},
+		{"status that is none", "HTTP/1.1 000 No\r\nContent-Length: 0\r\n\r\n", endpoint.Unresponsive, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
