Reject an answer that holds a blank in the name of a field

What callers saw: an endpoint's answer whose head held a field name with a blank reached the caller as an answer, with a body that ended elsewhere where the line was a Content-Length. In the answer to a resumed run, its events came into the middle of the caller's stream. A control byte in a name did not get through: net/http rejects it.

Cause: net/http keeps a line like "Content-Length : 4" as a field of another name, and takes a line that begins with a blank for the rest of the line before. Neither shows in what it returns as a name that the client looks at.

Why this works: the check of heads in the connection now reads names. A name is a token (RFC 9110, section 5.1) without a blank before its colon (RFC 9112, section 5.1). A proxy may drop that blank instead; an endpoint that sends one is in trouble, and what it meant by the line can't be known. Folded lines must not be sent and may be answered with 502 (section 5.2).

--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -30,10 +30,10 @@
 	// Truncated means that the response ended before it was complete, or that
 	// its end could not be detected.
 	Truncated
-	// WrongAnswer means that the response belongs to another request, has a status that
-	// is none, is not a final response, is an unmodified stream without the end of an
-	// event within ClientConfig.MaxEventBytes, or was rejected by the sink with
-	// ErrWrongAnswer.
+	// WrongAnswer means that the response belongs to another request, has a status or
+	// the name of a field that HTTP does not allow, is not a final response, is an
+	// unmodified stream without the end of an event within ClientConfig.MaxEventBytes,
+	// or was rejected by the sink with ErrWrongAnswer.
 	WrongAnswer
 	// TooLarge means that the response exceeds Call.MaxAnswerBytes, or an event
 	// ClientConfig.MaxEventBytes.
--- a/internal/endpoint/headscanner.go
+++ b/internal/endpoint/headscanner.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // errMalformedHead means that an answer has a head that HTTP does not allow.
@@ -20,7 +22,9 @@
 	codePart
 	reasonPart
 	lineStart
-	fieldPart
+	// namePart and valuePart form a field line.
+	namePart
+	valuePart
 	// lastLine is the empty line at the end, after its CR.
 	lastLine
 	// headEnd means that the head of the final answer is complete.
@@ -64,13 +68,15 @@
 	case protocolPart, codePart, reasonPart:
 		return s.addToStatusLine(b)
 	case lineStart:
-		s.startLine(b)
-	case lastLine:
-		s.endHead()
-	default:
+		return s.startLine(b)
+	case namePart:
+		return s.addToName(b)
+	case valuePart:
 		if b == '\n' {
 			s.part = lineStart
 		}
+	case lastLine:
+		s.endHead()
 	}
 	return nil
 }
@@ -105,15 +111,34 @@
 	return nil
 }
 
-// startLine takes the first byte of a line after the status line.
-func (s *headScanner) startLine(b byte) {
+// startLine takes the first byte of a line after the status line. A blank there is part of a
+// name, or continues the line before, which an answer must not do either and a gateway may
+// reject (RFC 9112, section 5.2).
+func (s *headScanner) startLine(b byte) error {
 	switch b {
 	case '\n':
 		s.endHead()
+		return nil
 	case '\r':
 		s.part = lastLine
+		return nil
+	default:
+		s.part = namePart
+		return s.addToName(b)
+	}
+}
+
+// addToName takes a byte of the name of a field, or the colon after it. A name is a token, and
+// no blank stands between it and the colon (RFC 9110, section 5.1; RFC 9112, section 5.1).
+func (s *headScanner) addToName(b byte) error {
+	switch {
+	case b == ':':
+		s.part = valuePart
+		return nil
+	case httpguts.IsTokenRune(rune(b)):
+		return nil
 	default:
-		s.part = fieldPart
+		return fmt.Errorf("%w: byte %q in the name of a field", errMalformedHead, b)
 	}
 }
 
