Resume a stream only with an answer that is a stream

What callers saw: a stream broke off after some events, and the next endpoint answered 200 with JSON or text. The caller got that in the middle of the stream, which then ended as if it were complete. An empty answer that was no stream ended it so, too.

Cause: the answer to a resumed run was checked for its status, its type only on the project's own interface (internal/router). A body that is no stream has no event ID, and one without an ID was not checked further.

Evidence: TestOnlyItsEventsResumeStream failed before for JSON with a length and in chunks, text, no type, and an empty answer without a type; a silent endpoint was outpaced by such an answer as well (TestPausedStreamsEndWhole, "the other endpoint sends no stream"). 204, 206, 302, 429 and 500 were rejected before.

Why this works: the head of the answer decides, before a byte of its body is taken: 200 and text/event-stream, or the attempt has failed and another endpoint may continue the stream. Both interfaces now ask the same function.

--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -12,8 +12,8 @@
 	"oleanderramp/internal/endpoint"
 )
 
-// errNotResumed rejects the answer of an endpoint that does not continue a stream
-// directly after the last forwarded event.
+// errNotResumed rejects the answer of an endpoint that is no stream, or does not continue
+// the stream directly after the last forwarded event.
 var errNotResumed = fmt.Errorf("%w: it does not follow the last event", endpoint.ErrWrongAnswer)
 
 // errTooLargeToHold rejects a lastResort answer that exceeds maxBufferedBytes.
@@ -127,11 +127,11 @@
 	}
 }
 
-// Head takes the head of the answer. It decides nothing yet: an endpoint that has sent
-// no more may still fail.
+// Head takes the head of the answer, which must be that of a stream if it resumes one. It
+// decides nothing else yet: an endpoint that has sent no more may still fail.
 func (c *attemptCall) Head(status int, header http.Header) error {
 	if c.resumesAfter != "" {
-		if status != http.StatusOK {
+		if status != http.StatusOK || !endpoint.IsEventStream(header) {
 			return errNotResumed
 		}
 		return nil
--- /dev/null
+++ b/internal/edge/resumedanswer_test.go
@@ -0,0 +1,42 @@
+package edge_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// resumeWith breaks a stream off after event 3 and lets the next endpoint give the answer.
+// It returns what the caller got of the stream, and the error with which that ended.
+func resumeWith(c *qt.C, answer string) (string, error) {
+	s := newSite(c, newEndpoint(c, events(1, 3, false)), newEndpoint(c, rawAnswer(answer)))
+	_, body, err := s.ask(c, "POST", "/resumable/", "x", map[string]string{"Oleanderramp-Key": "secret"})
+	return body, err
+}
+
+// TestOnlyItsEventsResumeStream guards against an answer of the next endpoint that is joined
+// to a stream of which it is no part, or that ends the stream as if it were complete.
+func TestOnlyItsEventsResumeStream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n$ID\r\n"
+	tests := []struct{ name, answer string }{
+		{"JSON", head + "Content-Type: application/json\r\nContent-Length: 13\r\n\r\n{\"error\": 1}\n"},
+		{"JSON in chunks", head + "Content-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\nd\r\n{\"error\": 1}\n\r\n0\r\n\r\n"},
+		{"text that looks like its events", head + "Content-Type: text/plain\r\n\r\nid: 4\ndata: x\n\n"},
+		{"no type", head + "\r\nid: 4\ndata: x\n\n"},
+		{"empty, no type", head + "Content-Length: 0\r\n\r\n"},
+		{"no content", "HTTP/1.1 204 No Content" + streamLines},
+		{"part", "HTTP/1.1 206 Partial Content" + streamLines},
+		{"redirect", "HTTP/1.1 302 Found" + streamLines},
+		{"error", "HTTP/1.1 500 No" + streamLines},
+		{"refusal", "HTTP/1.1 429 Too Many" + streamLines},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			body, err := resumeWith(c, test.answer)
+			c.Check(err, qt.IsNotNil)
+			c.Check(body, qt.Equals, completeStream(1, 3))
+		})
+	}
+}
--- a/internal/edge/silence_test.go
+++ b/internal/edge/silence_test.go
@@ -88,6 +88,7 @@
 		{"the other endpoint fails later", late(pause, abortConnection), 100},
 		{"the other endpoint begins anew", events(1, 3, true), 100},
 		{"the other endpoint does not know the stream", status(http.StatusNotFound), 100},
+		{"the other endpoint sends no stream", ok("{}"), 100},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/endpoint/answer.go
+++ b/internal/endpoint/answer.go
@@ -36,7 +36,7 @@
 	if response.StatusCode >= http.StatusInternalServerError || a.headers.isRefusal(response.StatusCode, response.Header) {
 		return a.receiveError(response)
 	}
-	stream := a.call.Stream && isEventStream(response.Header)
+	stream := a.call.Stream && IsEventStream(response.Header)
 	if !stream && !a.call.Raw && !truncationDetectable(a.call.Method, response) {
 		return a.newError(Truncated, errors.New("the response has neither a length nor chunks, so truncation could not be detected"))
 	}
@@ -113,7 +113,8 @@
 	return callErr
 }
 
-func isEventStream(header http.Header) bool {
+// IsEventStream reports whether the body below the header is a stream of server-sent events.
+func IsEventStream(header http.Header) bool {
 	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
 	return err == nil && kind == "text/event-stream"
 }
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"mime"
 	"net/http"
 
 	"oleanderramp/internal/endpoint"
@@ -68,7 +67,7 @@
 	if !t.mayStillRun(failure) || failure.Health != endpoint.Alive {
 		return false
 	}
-	return relay.status == 0 || relay.status == http.StatusOK && isEventStream(relay.header)
+	return relay.status == 0 || relay.status == http.StatusOK && endpoint.IsEventStream(relay.header)
 }
 
 // mayStillRun reports whether the endpoint may still be running a stream whose
@@ -108,11 +107,6 @@
 	return merged
 }
 
-func isEventStream(header http.Header) bool {
-	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
-}
-
 // errStreamNotResumed aborts a resumption whose response is not the rest of the
 // stream.
 var errStreamNotResumed = errors.New("the endpoint did not resume the stream")
@@ -127,7 +121,7 @@
 
 // Head forwards the head if the caller has none yet.
 func (s *resumeSink) Head(status int, header http.Header) error {
-	if status != http.StatusOK || !isEventStream(header) {
+	if status != http.StatusOK || !endpoint.IsEventStream(header) {
 		s.rejected = true
 		return errStreamNotResumed
 	}
