Resume a stream only with an event that follows by its ID

What callers saw: a stream broke off, and the next endpoint began a stream and then sent its error as text, or the whole head of an error. The caller found that in the middle of the stream, which ended as if it were complete.

Cause: the first event of a resumed run had to follow the last one only if it had an ID, and only if nothing stood before it. Text without an ID counted as an event that follows, and after a comment nothing was checked any more.

Evidence: TestOnlyItsEventsResumeStream failed before for the head of an error, events without an ID, with an ID that is no number, and for these and a repeated event after a comment.

Why this works: a stream is resumed after the ID of its last event, and only that tells where an answer goes on. So the first event, past comments and retry times, must have the ID that follows. TestStreamsAreResumed has what a sound endpoint may send before and in it. What stands after that event is the answer of one endpoint and is passed on as in a first run.

--- a/internal/edge/attemptcall.go
+++ b/internal/edge/attemptcall.go
@@ -181,14 +181,16 @@
 	return a.write(c.held.Bytes())
 }
 
-// continuesStream reports whether the events directly follow the last one that the
-// caller has. Only the first event of a resumed stream is checked, and only if it has an
-// ID.
+// continuesStream reports whether the events directly follow the last one that the caller
+// has, as told by the ID of the first one. Those after it are not checked.
 func (c *attemptCall) continuesStream(events []byte) bool {
 	if c.resumesAfter == "" || c.resumed {
 		return true
 	}
-	first := eventID(events)
-	c.resumed = first == "" || follows(c.resumesAfter, first)
+	first, found := firstEventID(events)
+	if !found {
+		return true
+	}
+	c.resumed = follows(c.resumesAfter, first)
 	return c.resumed
 }
