Resume only an answer that is a stream

What callers saw: on a route of streams that may be resumed, an answer that was no stream but text broke off; the next endpoint's events came after half a line of it, and the answer ended as if it were complete. An error with events that broke off was sent on to another endpoint.

Cause: the ID of the last event was looked for in whatever was passed on. Only the answer of type text/event-stream is passed on by whole events; another one is passed on by the bytes, so that an ID may stand in an event that is not whole.

Evidence: TestOnlyStreamsAreResumed failed before for a text (the caller got "id: 3\ndaid: 4\ndata: x") and for a status of 404 (the second endpoint ran it).

Why this works: an answer has a last event only if its head says that it is a success and a stream. Without one nothing continues it: it ends broken.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -43,7 +43,10 @@
 	// is larger than freeBufferedBytes.
 	openMemory func() *memgate.Claim
 	memory     *memgate.Claim
-	// lastEvent is the ID of the last event that was forwarded.
+	// eventStream reports whether the answer is a success and a stream of events.
+	eventStream bool
+	// lastEvent is the ID of the last event that was forwarded; empty unless eventStream
+	// is set.
 	lastEvent string
 	// lastPartAt is when the last part of the answer arrived, and longestPause the
 	// longest time between two parts.
@@ -72,6 +75,7 @@
 		return
 	}
 	a.status = status
+	a.eventStream = status == http.StatusOK && endpoint.IsEventStream(header)
 	target := a.w.Header()
 	clear(target)
 	for name, values := range header {
@@ -106,7 +110,7 @@
 		a.onFirstEvent()
 	}
 	a.reservation.recordEvents(time.Now(), countEvents(p))
-	if id := lastEventID(p); id != "" {
+	if id := lastEventID(p); id != "" && a.eventStream {
 		a.lastEvent = id
 	}
 	a.buffered.Write(p)
--- a/internal/edge/resumedanswer_test.go
+++ b/internal/edge/resumedanswer_test.go
@@ -72,3 +72,25 @@
 		})
 	}
 }
+
+// TestOnlyStreamsAreResumed guards against an answer that is no stream, though it looks like
+// events, and that another endpoint continues after half an event or under another status.
+func TestOnlyStreamsAreResumed(t *testing.T) {
+	const broken = "\r\nContent-Length: 1000\r\n\r\nid: 1\ndata: x\n\nid: 3\nda"
+	tests := []struct{ name, answer, body string }{
+		{"text", "HTTP/1.1 200 OK\r\n$ID\r\nContent-Type: text/plain" + broken, "id: 1\ndata: x\n\nid: 3\nda"},
+		{"not found", "HTTP/1.1 404 No\r\n$ID\r\nContent-Type: text/event-stream" + broken, "id: 1\ndata: x\n\n"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			other := newEndpoint(c, events(4, 5, true))
+			s := newSite(c, newEndpoint(c, rawAnswer(test.answer)), other)
+			_, body, err := s.ask(c, "POST", "/resumable/", "x", map[string]string{"Oleanderramp-Key": "secret"})
+			c.Check(err, qt.IsNotNil)
+			c.Check(body, qt.Equals, test.body)
+			c.Check(other.seen(), qt.HasLen, 0)
+		})
+	}
+}
