Count an order as executed only after a final answer with a sound head

What operators saw: an engine that answered an order to load a model with a status of 000, a head with a blank in a field name, or an interim answer counted as one that had executed it. A refusal for an old fencing token that came after an interim answer was lost.

Cause: orders use a connection of their own, so that the check of heads did not concern them; all statuses below 300 were success; and http.ReadResponse, unlike http.Transport, returns interim answers.

Evidence: TestBrokenOrderAnswerIsNoSuccess failed before in 5 of 7 cases; a head that ends in its middle and a success after an interim answer were right.

Why this works: orders read through the same checked connection as calls and probes, interim answers are skipped, and only 200 to 299 is success.

--- a/internal/endpoint/headscanner.go
+++ b/internal/endpoint/headscanner.go
@@ -107,10 +107,16 @@
 	if code < http.StatusContinue || code > maxStatus {
 		return fmt.Errorf("%w: status %d", errMalformedHead, code)
 	}
-	s.interim = code < http.StatusOK && code != http.StatusSwitchingProtocols
+	s.interim = isInterim(code)
 	return nil
 }
 
+// isInterim reports whether a valid status is that of an interim answer, after which another
+// answer follows. A change of the protocol is final.
+func isInterim(status int) bool {
+	return status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // startLine takes the first byte of a line after the status line. A blank there is part of a
 // name, or continues the line before, which an answer must not do either and a gateway may
 // reject (RFC 9112, section 5.2).
--- a/internal/endpoint/order.go
+++ b/internal/endpoint/order.go
@@ -72,7 +72,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := roundTripOrder(ctx, conn, request, sendBy); err != nil {
+	if err := roundTripOrder(ctx, &countingConn{Conn: conn}, request, sendBy); err != nil {
 		return fmt.Errorf("order to %s: %w", address, err)
 	}
 	return nil
@@ -110,8 +110,7 @@
 		}
 		return err
 	}
-	limited := io.LimitReader(conn, maxOrderAnswerBytes)
-	response, err := http.ReadResponse(bufio.NewReader(limited), &http.Request{Method: http.MethodPost})
+	response, err := readFinalResponse(bufio.NewReader(io.LimitReader(conn, maxOrderAnswerBytes)))
 	if err != nil {
 		return err
 	}
@@ -119,10 +118,20 @@
 	return orderResult(response)
 }
 
+// readFinalResponse reads the response after any interim ones (RFC 9110, section 15.2).
+func readFinalResponse(reader *bufio.Reader) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(reader, &http.Request{Method: http.MethodPost})
+		if err != nil || !isInterim(response.StatusCode) {
+			return response, err
+		}
+	}
+}
+
 // orderResult converts the engine's response to an error, nil for success.
 func orderResult(response *http.Response) error {
 	switch {
-	case response.StatusCode < http.StatusMultipleChoices:
+	case response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices:
 		return nil
 	case response.StatusCode == http.StatusConflict:
 		return ErrOldFence
--- a/internal/endpoint/order_test.go
+++ b/internal/endpoint/order_test.go
@@ -89,3 +89,34 @@
 	c.Assert(client.SendOrder(t.Context(), address, order, inOneMinute()), qt.ErrorIs, endpoint.ErrOrderNotSent)
 	c.Assert(e.Orders(), qt.HasLen, 0)
 }
+
+// TestBrokenOrderAnswerIsNoSuccess guards against an order that counts as executed because of
+// an answer that is broken, or of an interim one.
+func TestBrokenOrderAnswerIsNoSuccess(t *testing.T) {
+	const (
+		interim = "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"
+		whole   = "\r\nContent-Length: 0\r\n\r\n"
+	)
+	tests := []struct {
+		name, answer string
+		executed     bool
+	}{
+		{"status 000", "HTTP/1.1 000 No" + whole, false},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Y: z" + whole, false},
+		{"ends in the head", "HTTP/1.1 200 OK\r\nContent-Le", false},
+		{"interim answer only", interim, false},
+		{"new protocol", "HTTP/1.1 101 Switching Protocols" + whole, false},
+		{"old fence after an interim answer", interim + "HTTP/1.1 409 Conflict" + whole, false},
+		{"success after an interim answer", interim + "HTTP/1.1 200 OK" + whole, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			address := answerEarly(c, test.answer, func(*net.TCPConn) {})
+			order := endpoint.Order{Order: "load_model", Name: "m", Fence: 1}
+			err := newClient(t, endpoint.ClientConfig{}).SendOrder(t.Context(), address, order, inOneMinute())
+			c.Check(err == nil, qt.Equals, test.executed, qt.Commentf("%v", err))
+			c.Check(errors.Is(err, endpoint.ErrOrderNotSent), qt.IsFalse)
+		})
+	}
+}
