Let endpoints of the soak send broken answers

Endpoints that fail in part now send, in half of their failures, an answer that no router may pass on: a status of 000 or 600, a blank in or before the name of a field, a head that ends in its middle, or in place of the rest of a stream JSON or the head of an error. The checks of callers' answers are as before.

--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -222,6 +222,10 @@
 	if !e.answers.pass(request.Context()) {
 		return
 	}
+	if failing && rand.IntN(2) == 0 {
+		answerBroken(w, brokenAnswers)
+		return
+	}
 	if failing {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -230,8 +234,13 @@
 }
 
 // answerStream responds with a stream of events, starting after the last event
-// that the caller has. If failing is set, it aborts the connection halfway.
+// that the caller has. If failing is set, it aborts the connection halfway, or its
+// answer is broken.
 func (e *Endpoint) answerStream(w http.ResponseWriter, request *http.Request, call outside.Call, software string, failing bool) {
+	if failing && rand.IntN(2) == 0 && e.answers.pass(request.Context()) {
+		answerBroken(w, brokenStreams(call))
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	pause := firstEventDelay
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,6 +40,7 @@
 		{seed: 8, faults: faults, cause: "as seed 3, on a control host that reads were sent to"},
 		{seed: 12, faults: faults, cause: "as seed 3; also a fault of the soak itself, which started an endpoint twice"},
 		{seed: 2, faults: faults, cause: "a fault of the soak itself, which started an endpoint twice"},
+		{seed: 7001, faults: faults, cause: "answers with broken heads reached callers, and were joined to streams"},
 	}
 	// Each run starts a whole site of processes, so only a few may run at the
 	// same time.
