Reject an answer of HTTP/1.0 in chunks

What callers saw: an endpoint's answer of HTTP/1.0 with a Transfer-Encoding reached the caller as a 200 whose body was the chunks with their sizes, framed as whole. Found while the other readers of answers were checked; not reported.

Cause: HTTP/1.0 has no transfer encodings. net/http drops the field and reads the body until the connection ends. RFC 9112, section 6.1: such a message has faulty framing.

Evidence: "chunks in HTTP/1.0" of TestBrokenHeadReachesNobody failed before on each kind of route.

Why this works: the check of heads sees the field before net/http drops it.

--- a/internal/edge/brokenhead_test.go
+++ b/internal/edge/brokenhead_test.go
@@ -67,6 +67,8 @@
 		{"control byte in a value", "HTTP/1.1 200 OK\r\nX: y\x01z" + lines},
 		{"CR in a value", "HTTP/1.1 200 OK\r\nX: y\rContent-Length: 0" + lines},
 
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n$ID\r\ntransfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"},
+
 		{"ends in the status", "HTTP/1.1 20"},
 		{"ends after the status", "HTTP/1.1 200 OK\r\n"},
 		{"ends in a name", "HTTP/1.1 200 OK\r\n$ID\r\nContent-Le"},
--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -30,8 +30,8 @@
 	// Truncated means that the response ended before it was complete, or that
 	// its end could not be detected.
 	Truncated
-	// WrongAnswer means that the response belongs to another request, has a status or
-	// the name of a field that HTTP does not allow, is not a final response, is an
+	// WrongAnswer means that the response belongs to another request, has a status, the
+	// name of a field or a framing that HTTP does not allow, is not a final response, is an
 	// unmodified stream without the end of an event within ClientConfig.MaxEventBytes,
 	// or was rejected by the sink with ErrWrongAnswer.
 	WrongAnswer
--- a/internal/endpoint/headscanner.go
+++ b/internal/endpoint/headscanner.go
@@ -37,17 +37,19 @@
 type headScanner struct {
 	// part is that of the next byte.
 	part headPart
-	// code is the beginning of the status code, at most one byte more than it may have.
-	code []byte
+	// protocol, code and name are the beginnings of the protocol, the status code and the
+	// name of the last field. None is longer than maxScanned.
+	protocol, code, name []byte
 	// interim is true within the head of an interim answer, after which another one follows.
 	interim bool
 }
 
-const (
-	// statusDigits is the number of digits of a status code, and maxStatus the largest one.
-	statusDigits = 3
-	maxStatus    = 599
-)
+// maxScanned bounds what is kept of a part of a head. It is more than any protocol, status code
+// or name that is looked for.
+const maxScanned = 32
+
+// maxStatus is the largest status code.
+const maxStatus = 599
 
 // scan checks the next bytes of the connection, of which those after the head are ignored.
 // Its error wraps errMalformedHead.
@@ -91,12 +93,22 @@
 		s.part = codePart
 	case b == ' ' && s.part == codePart && len(s.code) > 0:
 		s.part = reasonPart
-	case b != ' ' && s.part == codePart && len(s.code) <= statusDigits:
-		s.code = append(s.code, b)
+	case s.part == protocolPart:
+		s.protocol = appendScanned(s.protocol, b)
+	case b != ' ' && s.part == codePart:
+		s.code = appendScanned(s.code, b)
 	}
 	return nil
 }
 
+// appendScanned appends a byte unless there are maxScanned.
+func appendScanned(scanned []byte, b byte) []byte {
+	if len(scanned) == maxScanned {
+		return scanned
+	}
+	return append(scanned, b)
+}
+
 // checkCode rejects a number outside of the five classes of status codes (RFC 9110,
 // section 15).
 func (s *headScanner) checkCode() error {
@@ -129,7 +141,7 @@
 		s.part = lastLine
 		return nil
 	default:
-		s.part = namePart
+		s.part, s.name = namePart, s.name[:0]
 		return s.addToName(b)
 	}
 }
@@ -140,14 +152,27 @@
 	switch {
 	case b == ':':
 		s.part = valuePart
-		return nil
+		return s.checkName()
 	case httpguts.IsTokenRune(rune(b)):
+		s.name = appendScanned(s.name, b)
 		return nil
 	default:
 		return fmt.Errorf("%w: byte %q in the name of a field", errMalformedHead, b)
 	}
 }
 
+// firstChunkedProtocol is the first version of HTTP with transfer encodings.
+const firstChunkedProtocol = "HTTP/1.1"
+
+// checkName rejects a transfer encoding in an answer of an earlier version of HTTP, whose end
+// can't be told (RFC 9112, section 6.1). http.Transport takes the encoded body for the body.
+func (s *headScanner) checkName() error {
+	if string(s.protocol) < firstChunkedProtocol && strings.EqualFold(string(s.name), "Transfer-Encoding") {
+		return fmt.Errorf("%w: transfer encoding in %q", errMalformedHead, s.protocol)
+	}
+	return nil
+}
+
 // endHead ends the head of an answer.
 func (s *headScanner) endHead() {
 	interim := s.interim
