Test broken answers on both interfaces, in retries and in hedged requests

Where another endpoint may answer, its sound answer is delivered in place of a broken one; a silent endpoint is not given up for one; a request that must run at most once is answered 502 and sent to no other.

--- a/internal/edge/brokenhead_test.go
+++ b/internal/edge/brokenhead_test.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"oleanderramp/pkg/routing"
 )
 
 // rawAnswer answers with the text in place of an HTTP response, in which $ID stands for the
@@ -102,6 +105,38 @@
 	}
 }
 
+// TestRequestsOutliveBrokenHeads checks that the answer of another endpoint is delivered in
+// place of a broken one, that a silent endpoint is not given up for a broken answer, and that
+// a request runs no second time if it must not.
+func TestRequestsOutliveBrokenHeads(t *testing.T) {
+	silent := late(200*time.Millisecond, ok("sound"))
+	for _, answer := range []string{"HTTP/1.1 000 No" + lines, "HTTP/1.1 200 OK\r\nX Y: z" + lines, "HTTP/1.1 200 OK\r\n$ID\r\n"} {
+		tests := []struct {
+			name, route   string
+			first, second http.HandlerFunc
+			status, calls int
+		}{
+			{"retry", "safe", rawAnswer(answer), ok("sound"), http.StatusOK, 1},
+			{"no retry", "unsafe", rawAnswer(answer), ok("sound"), http.StatusBadGateway, 0},
+			{"hedge", "safe", silent, rawAnswer(answer), http.StatusOK, 1},
+		}
+		for _, test := range tests {
+			t.Run(fmt.Sprintf("%s %q", test.name, answer), func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				second := newEndpoint(c, test.second)
+				s := newSite(c, newEndpoint(c, test.first), second)
+				s.setRoute(c, test.route, func(r *routing.Route) { r.Objective = 20 * time.Millisecond })
+				response, body, err := s.ask(c, "POST", "/"+test.route+"/", "x", nil)
+				c.Assert(err, qt.IsNil)
+				c.Check(response.StatusCode, qt.Equals, test.status)
+				c.Check(body == "sound", qt.Equals, test.status == http.StatusOK)
+				c.Check(second.seen(), qt.HasLen, test.calls)
+			})
+		}
+	}
+}
+
 // TestOddHeadsAreSound checks that heads which are allowed, though rare, reach the caller.
 func TestOddHeadsAreSound(t *testing.T) {
 	tests := []struct{ name, answer string }{
@@ -116,6 +151,7 @@
 		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK" + lines},
 		{"a long line", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 10_000) + lines},
 		{"no length", "HTTP/1.1 200 OK\r\n$ID\r\n\r\nbody"},
+		{"trailer", "HTTP/1.1 200 OK\r\n$ID\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n\r\n"},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/endpoint/raw_test.go
+++ b/internal/endpoint/raw_test.go
@@ -174,6 +174,12 @@
 		{"too large by its body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(20), false, endpoint.TooLarge, 100},
 		{"endpoint error", "HTTP/1.1 500 No\r\nContent-Length: 2\r\n\r\nno", false, endpoint.EndpointError, 0},
 		{"change of protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", false, endpoint.WrongAnswer, 0},
+		{"status 000", "HTTP/1.1 000 No\r\nContent-Length: 2\r\n\r\nok", false, endpoint.WrongAnswer, 0},
+		{"status 600", "HTTP/1.1 600 No\r\nContent-Length: 2\r\n\r\nno", false, endpoint.WrongAnswer, 0},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nok", false, endpoint.WrongAnswer, 0},
+		{"blank in a name of a stream", sse + "X Y: z\r\n\r\ndata: 1\n\ndata: [DONE]\n\n", true, endpoint.WrongAnswer, 0},
+		{"control byte in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX\x01: y\r\n\r\n", false, endpoint.Truncated, 0},
+		{"trailer that ends early", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: y\r\n", false, endpoint.Truncated, 0},
 		{"other request id", "HTTP/1.1 200 OK\r\nOleanderramp-Request: r2\r\nContent-Length: 2\r\n\r\nok", false, endpoint.WrongAnswer, 0},
 	}
 	for _, test := range tests {
