Move what an attempt does with its connection to a file of its own

conn.go had the connection and the attempt's use of it, call.go the rest of the latter. The check whether a connection is spent stood beside one like it.

--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -245,25 +245,6 @@
 	}
 }
 
-// abandonedConn describes the connection of a call that was given up.
-type abandonedConn struct {
-	// connected reports whether there was a connection, and reused whether it
-	// had served an earlier call.
-	connected, reused bool
-	// sent reports whether a byte of the request may have been sent.
-	sent bool
-}
-
-// abandonConn closes the connection, if there is one, and describes it.
-func (a *attempt) abandonConn() abandonedConn {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.conn == nil {
-		return abandonedConn{}
-	}
-	return abandonedConn{connected: true, reused: a.reused, sent: a.conn.abort() > a.writesBefore}
-}
-
 // connectionError returns the error for a failed connection. kind is the kind to
 // report if the connection ended while the request was in progress.
 func (a *attempt) connectionError(kind Kind, err error) *CallError {
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -1,11 +1,9 @@
 package endpoint
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
-	"net/http/httptrace"
 	"os"
 	"sync"
 	"time"
@@ -56,8 +54,8 @@
 	close(c.writeDone)
 }
 
-// Read fails with errMalformedHead, and returns no byte, from the first byte on that no head
-// of an answer may hold.
+// Read fails with errMalformedHead, and returns no byte, once a head of an answer has a byte
+// that is not allowed there.
 //
 // It returns io.EOF only if no write has failed. The kernel reports the loss of a
 // connection once, to the read or to the write, whichever asks first. If that is the write,
@@ -152,67 +150,17 @@
 	return writes
 }
 
-// spendConn lets the connection carry no further request, whether or not it is in the
-// pool already.
-func (a *attempt) spendConn() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.conn != nil {
-		a.conn.spend()
-	}
-}
-
-// connSpent reports whether the connection may carry no further request.
-func (a *attempt) connSpent() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.conn == nil {
-		return false
-	}
-	a.conn.mu.Lock()
-	defer a.conn.mu.Unlock()
-	return a.conn.spent
+// isSpent reports whether the connection may carry no further request.
+func (c *countingConn) isSpent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.spent
 }
 
-// headScanned reports whether the head of the answer has arrived after its request had begun,
+// headScanned reports whether the head of an answer has arrived since the last request began,
 // and so has been checked.
-func (a *attempt) headScanned() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.conn == nil {
-		return false
-	}
-	a.conn.mu.Lock()
-	defer a.conn.mu.Unlock()
-	return a.conn.head.part == headEnd
-}
-
-// gotConn is called when the attempt has a connection, before the request is written.
-func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	if a.call.OnConnected != nil {
-		a.call.OnConnected(a.requestHeader)
-	}
-	conn, ok := info.Conn.(*countingConn)
-	if !ok {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.conn = conn
-	a.writesBefore = conn.beginRequest(a.stillWanted)
-	a.reused = info.Reused
-}
-
-// stillWanted reports whether the caller still waits for the response. If not, the call
-// ends. It is asked right before the request is written: to get a connection, and
-// processor time, may have taken long.
-func (a *attempt) stillWanted() bool {
-	now := time.Now()
-	if deadline, ok := a.ctx.Deadline(); ok && !now.Before(deadline) {
-		a.cancel(context.DeadlineExceeded)
-	}
-	if a.call.CallerDisconnected != nil && a.call.CallerDisconnected() {
-		a.cancel(ErrCallerDisconnected)
-	}
-	return a.ctx.Err() == nil
+func (c *countingConn) headScanned() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.head.part == headEnd
 }
