--- a/internal/endpoint/attemptconn.go
+++ b/internal/endpoint/attemptconn.go
@@ -11,7 +11,7 @@
 	if a.call.OnConnected != nil {
 		a.call.OnConnected(a.requestHeader)
 	}
-	conn, ok := info.Conn.(*countingConn)
+	conn, ok := info.Conn.(*endpointConn)
 	if !ok {
 		return
 	}
@@ -37,7 +37,7 @@
 }
 
 // connection returns the connection in use, nil until there is one.
-func (a *attempt) connection() *countingConn {
+func (a *attempt) connection() *endpointConn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.conn
--- a/internal/endpoint/call.go
+++ b/internal/endpoint/call.go
@@ -196,7 +196,7 @@
 
 	mu sync.Mutex
 	// conn is the connection in use, nil until there is one.
-	conn *countingConn
+	conn *endpointConn
 	// writesBefore is the number of writes on conn before this attempt.
 	writesBefore int
 	reused       bool
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -173,7 +173,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countingConn{Conn: conn}, nil
+			return &endpointConn{Conn: conn}, nil
 		},
 		DisableCompression:     true,
 		MaxConnsPerHost:        config.MaxConnections,
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -11,10 +11,10 @@
 
 var errAborted = errors.New("connection was aborted")
 
-// countingConn counts the writes on a connection, which shows whether any byte
-// of a call may have been sent, tells a reset from the end of an answer, and checks the heads
-// of answers. One goroutine reads from it and one writes to it, as http.Transport does.
-type countingConn struct {
+// endpointConn is a connection to an endpoint. It counts the writes, which shows whether any
+// byte of a call may have been sent, tells a reset from the end of an answer, and checks the
+// heads of answers. One goroutine reads from it and one writes to it, as http.Transport does.
+type endpointConn struct {
 	net.Conn
 
 	mu     sync.Mutex
@@ -33,7 +33,7 @@
 }
 
 // Write counts the write before it starts.
-func (c *countingConn) Write(p []byte) (int, error) {
+func (c *endpointConn) Write(p []byte) (int, error) {
 	if !c.beginWrite() {
 		return 0, errAborted
 	}
@@ -44,7 +44,7 @@
 
 // endWrite records the end of a write. That the write was given up on this side says nothing
 // about the connection.
-func (c *countingConn) endWrite(err error) {
+func (c *endpointConn) endWrite(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	givenUp := errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, net.ErrClosed)
@@ -61,7 +61,7 @@
 // connection once, to the read or to the write, whichever asks first. If that is the write,
 // the read gets io.EOF, as if the peer had ended its answer. An answer that ends with its
 // connection is not complete after such an error (RFC 9112, section 8).
-func (c *countingConn) Read(p []byte) (int, error) {
+func (c *endpointConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if malformed := c.scanHead(p[:n]); malformed != nil {
 		return 0, malformed
@@ -74,7 +74,7 @@
 	return n, err
 }
 
-func (c *countingConn) scanHead(p []byte) error {
+func (c *endpointConn) scanHead(p []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head.scan(p)
@@ -86,7 +86,7 @@
 // failedWrite returns the error of a write that the connection failed, or nil. It ends the
 // write in progress, as the peer answers no further request: that write may have been told
 // of the loss already, and otherwise could wait for a peer that reads nothing.
-func (c *countingConn) failedWrite() error {
+func (c *endpointConn) failedWrite() error {
 	c.mu.Lock()
 	done := c.writeDone
 	c.mu.Unlock()
@@ -106,7 +106,7 @@
 
 // beginWrite counts a write and reports whether it may start. If it may not, no later
 // write may.
-func (c *countingConn) beginWrite() bool {
+func (c *endpointConn) beginWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.allowed != nil && !c.aborted {
@@ -123,7 +123,7 @@
 
 // beginRequest makes the next write start only if allowed returns true, and expects the head
 // of an answer from then on. It returns the number of writes so far.
-func (c *countingConn) beginRequest(allowed func() bool) int {
+func (c *endpointConn) beginRequest(allowed func() bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.allowed = allowed
@@ -133,7 +133,7 @@
 }
 
 // spend lets the connection carry no further request.
-func (c *countingConn) spend() {
+func (c *endpointConn) spend() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.spent = true
@@ -141,7 +141,7 @@
 
 // abort closes the connection, makes further writes fail and returns the number
 // of writes that had started.
-func (c *countingConn) abort() int {
+func (c *endpointConn) abort() int {
 	c.mu.Lock()
 	c.aborted = true
 	writes := c.writes
@@ -151,7 +151,7 @@
 }
 
 // isSpent reports whether the connection may carry no further request.
-func (c *countingConn) isSpent() bool {
+func (c *endpointConn) isSpent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.spent
@@ -159,7 +159,7 @@
 
 // headScanned reports whether the head of an answer has arrived since the last request began,
 // and so has been checked.
-func (c *countingConn) headScanned() bool {
+func (c *endpointConn) headScanned() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.head.part == headEnd
--- a/internal/endpoint/export_test.go
+++ b/internal/endpoint/export_test.go
@@ -16,8 +16,8 @@
 		dial := transport.DialContext
 		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dial(ctx, network, address)
-			if counting, ok := conn.(*countingConn); ok {
-				counting.Conn = wrap(counting.Conn)
+			if own, ok := conn.(*endpointConn); ok {
+				own.Conn = wrap(own.Conn)
 			}
 			return conn, err
 		}
--- a/internal/endpoint/order.go
+++ b/internal/endpoint/order.go
@@ -72,7 +72,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	if err := roundTripOrder(ctx, &countingConn{Conn: conn}, request, sendBy); err != nil {
+	if err := roundTripOrder(ctx, &endpointConn{Conn: conn}, request, sendBy); err != nil {
 		return fmt.Errorf("order to %s: %w", address, err)
 	}
 	return nil
