--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -19,30 +19,21 @@
 	return max(count, 1)
 }
 
-// eventID returns the id of the first event in p, or "".
-func eventID(p []byte) string {
-	for line := range bytes.Lines(p) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(value))
-		}
-		if len(bytes.TrimSpace(line)) == 0 {
-			return ""
-		}
-	}
-	return ""
-}
-
-// lastEventID returns the id of the last event in p that has one, or "".
+// lastEventID returns the ID of the last event in p that has one, or "".
 func lastEventID(p []byte) string {
-	at := bytes.LastIndex(p, idLine)
-	if at < 0 {
-		return eventID(p)
+	if at := bytes.LastIndex(p, idLine); at >= 0 {
+		p = p[at+1:]
+	}
+	value, ok := bytes.CutPrefix(p, idField)
+	if !ok {
+		return ""
 	}
-	return eventID(p[at+1:])
+	line, _, _ := bytes.Cut(value, []byte("\n"))
+	return string(bytes.TrimSpace(line))
 }
 
-// firstEventID returns the ID of the first event in p, "" if it has none. Comments and retry
-// times are no event; found is false if there is nothing else.
+// firstEventID returns the ID of the first event in p, "" if that has none. Comments and retry
+// times are no events; found is false if there is nothing else.
 func firstEventID(p []byte) (id string, found bool) {
 	for line := range bytes.Lines(p) {
 		line = bytes.TrimRight(line, "\r\n")
--- a/internal/peer/dial.go
+++ b/internal/peer/dial.go
@@ -155,7 +155,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &endpointConn{Conn: conn, traffic: traffic, received: received}, nil
+		return &countingConn{Conn: conn, traffic: traffic, received: received}, nil
 	}
 }
 
--- a/internal/peer/traffic.go
+++ b/internal/peer/traffic.go
@@ -18,15 +18,15 @@
 // Received returns the number of bytes received.
 func (t *Traffic) Received() uint64 { return t.received.Load() }
 
-// endpointConn counts the bytes read from and written to a connection.
-type endpointConn struct {
+// countingConn counts the bytes read from and written to a connection.
+type countingConn struct {
 	net.Conn
 	traffic *Traffic
 	// received counts the bytes read as well; nil if nothing else does.
 	received *atomic.Uint64
 }
 
-func (c *endpointConn) Read(p []byte) (int, error) {
+func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.traffic.received.Add(uint64(n))
 	if c.received != nil {
@@ -35,7 +35,7 @@
 	return n, err
 }
 
-func (c *endpointConn) Write(p []byte) (int, error) {
+func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.traffic.sent.Add(uint64(n))
 	return n, err
@@ -52,5 +52,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &endpointConn{Conn: conn, traffic: l.traffic}, nil
+	return &countingConn{Conn: conn, traffic: l.traffic}, nil
 }
