--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -15,8 +15,10 @@
 	fleet   *fleet
 	id      string
 	service string
+	version string
 	zone    string
 	address string
+	late    time.Duration // How late its liveness reports are.
 	born    int64
 	handler http.HandlerFunc
 	server  *http.Server
@@ -34,14 +36,17 @@
 
 // startEngineAt is startEngine with the address.
 func (f *fleet) startEngineAt(id, service string, number int, address string, handler http.HandlerFunc) (*engine, error) {
+	return f.listen(&engine{id: id, service: service, version: "v1"}, number, address, handler)
+}
+
+// listen starts an engine whose id, service, version and lateness are set.
+func (f *fleet) listen(e *engine, number int, address string, handler http.HandlerFunc) (*engine, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{
-		fleet: f, id: id, service: service, zone: zones[number%len(zones)]["zone"], address: l.Addr().String(),
-		born: time.Now().UnixMilli(), handler: handler, stop: make(chan struct{}),
-	}
+	e.fleet, e.zone, e.address = f, zones[number%len(zones)]["zone"], l.Addr().String()
+	e.born, e.handler, e.stop = time.Now().UnixMilli(), handler, make(chan struct{})
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
 	go func() { _ = e.server.Serve(l) }()
 	e.beats.Go(e.beat)
@@ -67,9 +72,14 @@
 func (e *engine) beat() {
 	for {
 		body, _ := json.Marshal(map[string]any{
-			"service": e.service, "address": e.address, "zone": e.zone, "version": "v1", "slots": 64, "state": "ready",
+			"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": 64, "state": "ready",
 			"coldRemainingMs": 0, "sequence": e.seq.Add(1), "born": e.born,
 		})
+		select {
+		case <-e.stop:
+			return
+		case <-time.After(e.late):
+		}
 		for _, d := range e.fleet.controls {
 			status, _, err := call("POST", d.control, "/Instances.Heartbeat/"+e.id, body, time.Second)
 			if err == nil && status/100 == 2 {
--- a/review/stand-3/hang.go
+++ b/review/stand-3/hang.go
@@ -76,7 +76,7 @@
 func prompt(number, parts int, part *atomic.Int64) []byte {
 	var b strings.Builder
 	fmt.Fprintf(&b, "POST /digest/%d HTTP/1.1\r\nHost: %s\r\nOleanderramp-Request-Id: %s\r\nOleanderramp-Key: %s\r\nOleanderramp-Model: m\r\n"+
-		"Oleanderramp-Deadline-Ms: 20000\r\nOleanderramp-Token-Count: %d,10\r\nOleanderramp-Prompt-Prefix: ", number, siteHost, newID(), goodKey, parts)
+		"Oleanderramp-Deadline-Ms: 50000\r\nOleanderramp-Token-Count: %d,10\r\nOleanderramp-Prompt-Prefix: ", number, siteHost, newID(), goodKey, parts)
 	for i := range parts {
 		if i > 0 {
 			b.WriteByte(',')
@@ -103,7 +103,7 @@
 // engines and two others, and returns also the model engines. model gets the number of the engine.
 func promptSite(rec *record, model func(number int, w http.ResponseWriter, r *http.Request)) (f *fleet, models []*engine, closeAll func(), err error) {
 	digests, orders := route("r-digest", "/digest/", "streaming", "lm"), route("r-orders", "/orders/", "safe", "desk")
-	digests["sticky"], digests["timeoutMs"], orders["timeoutMs"] = true, 20000, orderTimeout.Milliseconds()
+	digests["sticky"], digests["timeoutMs"], orders["timeoutMs"] = true, 50000, orderTimeout.Milliseconds()
 	if f, err = begin(rec, 3, 2, 1, document(1, []map[string]any{digests, orders}, "lm", "desk")); err != nil {
 		return nil, nil, nil, err
 	}
@@ -169,7 +169,7 @@
 		clients.Go(func() {
 			for time.Now().Before(end) {
 				request := prompt(i, parts, &part)
-				a := send(f.routers[0].callers, request, 21*time.Second)
+				a := send(f.routers[0].callers, request, 51*time.Second)
 				sent.Add(1)
 				rec.printf("%s: prompt of %d parts in %d bytes: status %d, error %v", f.routers[0].name, parts, len(request), a.status, a.err)
 				time.Sleep(500 * time.Millisecond)
@@ -205,7 +205,7 @@
 	}
 	defer closeAll()
 	defer close(over)
-	end := time.Now().Add(15 * time.Second)
+	end := time.Now().Add(40 * time.Second)
 	first, second := &ordinary{name: f.routers[0].name}, &ordinary{name: f.routers[1].name}
 	var clients sync.WaitGroup
 	clients.Go(func() { first.callOrdinarily(rec, f.routers[0].callers, end) })
@@ -215,7 +215,7 @@
 	for i := range prompts {
 		go func() {
 			request := prompt(i, longParts, &part)
-			a := send(f.routers[0].callers, request, 21*time.Second)
+			a := send(f.routers[0].callers, request, 51*time.Second)
 			rec.printf("%s: prompt %d of %d parts in %d bytes: status %d, error %v", f.routers[0].name, i, longParts, len(request), a.status, a.err)
 		}()
 	}
