--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # dependencies. The daemons themselves come from the build of deploy/system.toml.
 set -e
 cd "$(dirname "$0")/stand-3"
-go build -o ../../target/stand3 .
+GOTOOLCHAIN=local GOFLAGS=-buildvcs=false GOWORK=off go build -o ../../target/stand3 .
--- a/review/stand-3/engine.go
+++ b/review/stand-3/engine.go
@@ -18,7 +18,7 @@
 	version string
 	zone    string
 	address string
-	late    time.Duration // How late its liveness reports are.
+	late    time.Duration // How long after its start its first liveness report comes.
 	born    int64
 	handler http.HandlerFunc
 	server  *http.Server
@@ -70,16 +70,16 @@
 
 // beat announces the engine until it is closed.
 func (e *engine) beat() {
+	select {
+	case <-e.stop:
+		return
+	case <-time.After(e.late):
+	}
 	for {
 		body, _ := json.Marshal(map[string]any{
 			"service": e.service, "address": e.address, "zone": e.zone, "version": e.version, "slots": 64, "state": "ready",
 			"coldRemainingMs": 0, "sequence": e.seq.Add(1), "born": e.born,
 		})
-		select {
-		case <-e.stop:
-			return
-		case <-time.After(e.late):
-		}
 		for _, d := range e.fleet.controls {
 			status, _, err := call("POST", d.control, "/Instances.Heartbeat/"+e.id, body, time.Second)
 			if err == nil && status/100 == 2 {
--- a/review/stand-3/memory.go
+++ b/review/stand-3/memory.go
@@ -21,6 +21,8 @@
 	// crowd is how many clients each router has, and crowdParts how many parts their prompts have.
 	crowd      = 700
 	crowdParts = 2500
+	// shortParts is how many parts an ordinary prompt has.
+	shortParts = 3
 	// endsThatCount is how often a machine's processes must end by themselves (RULES.md, Fault).
 	endsThatCount = 3
 )
--- a/review/stand-3/versions.go
+++ b/review/stand-3/versions.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,10 +19,11 @@
 	// streamEvents is how many events each stream has, one each eventPause.
 	streamEvents = 80
 	eventPause   = 100 * time.Millisecond
-	// engineDown is how long the engine that crashes is down, and reportsLate how late the
-	// liveness reports of its next lifetime are.
-	engineDown  = 500 * time.Millisecond
-	reportsLate = 3 * time.Second
+	// engineDown is how long the engine that crashes is down.
+	engineDown = 500 * time.Millisecond
+	// heartbeat is the heartbeatMs of the sites: the first liveness report of the next lifetime
+	// comes that long after its start.
+	heartbeat = 1200 * time.Millisecond
 )
 
 // streamHandler serves streams of an engine of a software version, from the event after
@@ -46,6 +48,15 @@
 	}
 }
 
+// counted returns a handler that counts the requests in progress.
+func counted(running *atomic.Int64, handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		running.Add(1)
+		defer running.Add(-1)
+		handler(w, r)
+	}
+}
+
 // stream is what a client has of a stream, over its tries.
 type stream struct {
 	first    string // The id of the client attempt that brought the first event.
@@ -134,9 +145,10 @@
 		return false, fmt.Errorf("there are no two routers in a zone")
 	}
 	var engines []*engine
-	for i := range 6 {
+	var running [6]atomic.Int64
+	for i := range running {
 		id := fmt.Sprintf("m-%d", i)
-		e, err := f.startEngine(id, "lm", i, streamHandler(rec, id, "v1"))
+		e, err := f.startEngine(id, "lm", i, counted(&running[i], streamHandler(rec, id, "v1")))
 		if err != nil {
 			return false, err
 		}
@@ -156,8 +168,8 @@
 			// Half of the clients come to another router, half to the one that has seen the crash.
 			next := []*daemon{first, second}[i%2]
 			for begin := time.Now(); !complete && s.tries < 4 && time.Since(begin) < 8*time.Second; {
-				// As after a pause of the client's own.
-				time.Sleep(time.Duration(1000+rand.IntN(1000)) * time.Millisecond)
+				// A pause of the client's own.
+				time.Sleep(time.Duration(700+rand.IntN(400)) * time.Millisecond)
 				complete = s.try(rec, next.callers, never)
 			}
 		})
@@ -165,14 +177,21 @@
 	time.Sleep(2500 * time.Millisecond)
 	if trouble {
 		// Each client whose stream breaks off takes it up again.
-		crashed := engines[0]
-		crashed.crash()
+		most := 0
+		for i := range running {
+			if running[i].Load() > running[most].Load() {
+				most = i
+			}
+		}
+		crashed := engines[most]
+		rec.printf("engine %s at %s crashes, with %d streams", crashed.id, crashed.address, running[most].Load())
+		crashed.close()
 		time.Sleep(engineDown)
-		again := &engine{id: crashed.id, service: "lm", late: reportsLate, version: "v2"}
-		if engines[0], err = f.listen(again, 0, crashed.address, streamHandler(rec, crashed.id, "v2")); err != nil {
+		again := &engine{id: crashed.id, service: "lm", late: heartbeat, version: "v2"}
+		if engines[most], err = f.listen(again, most, crashed.address, counted(&running[most], streamHandler(rec, crashed.id, "v2"))); err != nil {
 			return false, err
 		}
-		rec.printf("engine %s starts again at %s with version v2; its liveness reports are %v late", crashed.id, crashed.address, reportsLate)
+		rec.printf("engine %s starts again at %s with version v2; its first liveness report comes after %v", crashed.id, crashed.address, heartbeat)
 	} else {
 		// The clients break off themselves, and take their streams up again.
 		rec.printf("all clients break off")
